Let watches on discovery come back with exponential backoff and jitter

Cause: the fixed RETRY of 0.2 s in lynxreel/discovery.py. Harmless for three gateways; forty of them ask for 200 lists a second of a service that is overbooked, and keep it so. Checked and ruled out: the module (Watch does nothing on sockets), crashes (none logged), heartbeats (2 s, SILENT 5 s, no watch was dropped for it). Mended: pauses double from 0.2 to 4 s, half of each is chance; the first news that can be read resets them.

--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import json
 import os
+import random
 import signal
 import sys
 from contextlib import suppress
@@ -61,7 +62,8 @@
     listen, discovery_at = read_address(config["listen"]), read_address(config["discovery"])
     known, addresses = read_list(config["known"], names, ListKind.CACHED)
 
-    engine = Engine(settings, int(config["seed"], 16), loop)
+    seed = int(config["seed"], 16)
+    engine = Engine(settings, seed, loop)
     servers = engine.backend = Servers(engine, settings, names.idle, most, loop)
     counter = None
     if settings.counter is not None:
@@ -74,7 +76,7 @@
         engine.news(members)
 
     news(known, addresses)
-    discovery = Discovery(discovery_at, known.version, names, news, loop)
+    discovery = Discovery(discovery_at, known.version, names, news, loop, random.Random(seed))
     loop.add_signal_handler(signal.SIGHUP, move, discovery, counter)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     with suppress(TimeoutError):
--- a/lynxreel/discovery.py
+++ b/lynxreel/discovery.py
@@ -5,18 +5,21 @@
 import asyncio
 import json
 import math
+import random
 from collections.abc import Callable
 from typing import Any, cast
 
 import h11
 
+from lynxreel.backoff import Backoff
 from lynxreel.log import log
 from mothgap.interface import ListKind, Member, Members, State
 from mothgap.settings import Names
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 SILENT = 5.0  # seconds: over two of the watch's heartbeats
-RETRY = 0.2  # seconds between watches
+RETRY = 0.2  # seconds, at most, before a watch that was good is opened again: its last news may lack a drain
+MOST_RETRY = 4.0  # seconds; as forty gateways ask then, it is some ten calls a second for the fleet
 MOST_LINE = 4 * 1024 * 1024  # bytes of one line; more is no list
 Address = tuple[str, int]
 NOWHERE: Address = ("", 0)
@@ -150,8 +153,10 @@
         names: Names,
         news: News,
         loop: asyncio.AbstractEventLoop,
+        chance: random.Random,
     ) -> None:
         self.loop = loop
+        self._backoff = Backoff(RETRY, MOST_RETRY, chance)
         self.version = version
         self.told = asyncio.Event()  # something has been heard since the start
         self.address, self._names, self._news = address, names, news
@@ -170,6 +175,7 @@
         """One line of the watch."""
         members, lines = read_list(data, self._names)
         self.version = members.version
+        self._backoff.reset()
         if lines or members.kind is ListKind.FULL:
             self._news(members, lines)
         self.told.set()
@@ -186,7 +192,7 @@
                 await watch.ended
             except OSError:  # a time-out is one, too
                 watch.drop()
-            await asyncio.sleep(RETRY)
+            await asyncio.sleep(self._backoff.pause())
 
     def close(self) -> None:
         """The end of the process."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 from lynxreel import discovery as module
 from lynxreel.discovery import Address, Discovery
+from lynxreel.log import _Log
 from mothgap.interface import ListKind, Member, Members, State
 from tests.net import LOCAL, NAMES, Peer, run
 
@@ -16,6 +18,12 @@
 Told = asyncio.Queue[tuple[Members, list[tuple[Member, Address]]]]
 
 
+@pytest.fixture(autouse=True)
+def fresh_log(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What other tests have logged in the same second must not crowd out the lines of this one."""
+    monkeypatch.setattr(module, "log", _Log())
+
+
 def line(generation: int, reset: bool = False, **fields: Any) -> bytes:
     entry = {
         "instanceId": "s-1", "hostPort": "127.0.0.1:81", "zone": "room", "machineType": "box", "cell": 3,
@@ -34,7 +42,8 @@
         told: Told = asyncio.Queue()
         async with Peer() as peer:
             loop = asyncio.get_running_loop()
-            watch = Discovery((LOCAL, peer.port), 41, NAMES, lambda *news: told.put_nowait(news), loop)
+            address, chance = (LOCAL, peer.port), random.Random(1)
+            watch = Discovery(address, 41, NAMES, lambda *news: told.put_nowait(news), loop, chance)
             await scenario(peer, told, watch)
             watch.close()
 
@@ -92,6 +101,32 @@
     play(scenario)
 
 
+def test_watches_that_fail_come_later_and_later_until_one_is_good(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards discovery against a fleet whose watches all fail because all of them ask again at once.
+    pauses: list[float] = []
+    sleep = asyncio.sleep
+
+    async def noted(span: float) -> None:
+        pauses.append(span)
+        await sleep(0)
+
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        for _ in range(8):
+            await peer.answer(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+            assert (await peer.hear())[1] == b""
+        writer, _ = await peer.hear()
+        writer.write(HEAD + chunk(line(42)))
+        await told.get()
+        writer.transport.abort()
+        assert (await peer.hear())[1] == b""
+        await peer.hear()
+
+    monkeypatch.setattr("lynxreel.discovery.asyncio.sleep", noted)
+    play(scenario)
+    spans = [min(module.MOST_RETRY, module.RETRY * 2**n) for n in range(8)] + [module.RETRY]
+    assert all(span / 2 <= pause <= span for pause, span in zip(pauses, spans, strict=True))
+
+
 def test_a_silent_watch_is_dead_and_heartbeats_keep_one_alive(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
         await peer.hear()
