Call a slow request off only where its server owes this gateway answers

One attempt in five was thrown away while the fleet was short of servers, and half of the time of each with it. Cause: silence was no answer since the request was sent (_Server.silent, used by _on_timer and _learn). Three gateways meet each of nine servers several times a second; forty meet each of sixty once in five seconds, so that any slow request is all that a gateway has there, and looks like silence. Mended: silence tells only when the server owes three answers, by the rate at which warm servers of its kind answer this gateway. A request on a slow server is waited for otherwise.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -47,6 +47,7 @@
 ERROR_LIMIT = 0.3  # share of errors at which a server is set aside; healthy ones are far below
 ASIDE_MOST = 0.5  # part of the servers that may be set aside: if more look bad, suspect something shared
 ASIDE_CALLS = 6.0  # mean service times that a server set aside waits before one request tries it
+SILENT_ANSWERS = 3.0  # answers owed in the mean when silence tells of a server: chance is one in twenty
 SILENCE = 5.0  # times the usual answer time without any answer before a server counts as silent
 ERROR_WEIGHT = 4.0  # how much a server's error share adds to its expected wait: an error costs a request
 AVOID = 10.0  # times the expected wait at the server that the last attempt failed at: only if all are as slow
@@ -158,10 +159,6 @@
         """Attempts that are out, or given up but perhaps still there if sent later than `since`."""
         return len(self.out) + (sum(ghost > since for ghost in self.ghosts) if self.ghosts else 0)
 
-    def silent(self, now: int, since: int) -> bool:
-        """No answer of any kind since then."""
-        return self.answered_at <= since < now
-
     def put_aside(self, now: int, span: int) -> None:
         """Leave it alone, but for one trial after each span."""
         self.aside, self.trial = True, now + span
@@ -630,16 +627,29 @@
             return True
         age = max(0, self._now - started) / max(1, safety.cold_span)
         grown = safety.cold_from + (1 - safety.cold_from) * age
+        pace = COLD_MARGIN * safety.fall_multiple * grown * self._warm_rate(server)
+        server.cold_left = min(1.0, server.cold_left + pace * (self._now - server.cold_at) / SECOND)
+        server.cold_at = self._now
+        return server.cold_left >= 1.0
+
+    def _warm_rate(self, server: _Server) -> float:
+        """Answers a second to this gateway from a warm server of its kind, or of any where there is none."""
         if self._now - self._warm_at > STALE:  # not for each cold server of each choice: that is quadratic
             kinds, self._warm_at = [s.line.kind for s in self._ready if not self._cold(s)], self._now
             self._warm_of = {kind: kinds.count(kind) for kind in self._kinds}
         warm, rate = self._warm_of.get(server.line.kind, 0), server.kind.rate_at(self._now)
         if not warm:
             warm, rate = sum(self._warm_of.values()), sum(k.rate_at(self._now) for k in self._kinds.values())
-        pace = COLD_MARGIN * safety.fall_multiple * grown * rate / max(1, warm)
-        server.cold_left = min(1.0, server.cold_left + pace * (self._now - server.cold_at) / SECOND)
-        server.cold_at = self._now
-        return server.cold_left >= 1.0
+        return rate / max(1, warm)
+
+    def _silent(self, server: _Server, since: int) -> bool:
+        """No answer of any kind since then, though it owed some.
+
+        Guards requests that are merely slow where a gateway sees so little of a server that any one of them
+        is all it has there: calling them off throws away work that is nearly done, and asks for it again.
+        """
+        owed = self._warm_rate(server) * (self._now - since) / SECOND
+        return server.answered_at <= since < self._now and owed >= SILENT_ANSWERS
 
     def _cold(self, server: _Server) -> bool:
         started = server.line.started_at
@@ -774,7 +784,7 @@
             if server.errors > ERROR_LIMIT:
                 server.put_aside(self._now, self._aside_span())
         elif event.result is Result.TIMEOUT:
-            if server.silent(self._now, self._now - event.elapsed):
+            if self._silent(server, self._now - event.elapsed):
                 server.put_aside(self._now, self._aside_span())
         elif event.result is Result.FULL:
             server.load, server.load_at = server.load + 4, self._now
@@ -796,7 +806,7 @@
         # Silence, not slowness: waiting longer on a server that answers others is cheaper than a repeat.
         if server is None or self._retries < 1 or self._pooled is not None:
             return
-        if server.silent(self._now, sent):
+        if self._silent(server, sent):
             server.put_aside(self._now, self._aside_span())
             if self._s.limits.second_copies and job.cls.effect is Effect.REPEATABLE:
                 # It may only be slow, and what runs there goes on in any case: the first answer counts.
