Let a quota's window last two bursts, and credit others' use with its refill

Cause: windows of one burst (_window) and _Customer.take. At each edge a burst more may pass, as a gateway that meets a member once in a window remembers nothing of the last one; and it takes all that a total shows of others, seconds of use, for a debt of this moment, with nothing refilled. Three gateways look several times in a window. Mended: a window lasts as long as two bursts take to refill, and of the refill that found no debt since the last total half is credited, which with the burst at the window's start makes the rate.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -40,6 +40,8 @@
 SHORT_KEEP = 0.5  # of the largest request; what every class leaves free then
 OTHERS_DOUBT = 2.0  # own units seen in totals at which they tell as much of the others' part as an even split
 LOOK_WINDOWS = 8.0  # windows after which what totals said of a customer has faded: long spells last longer
+WINDOW_BURSTS = 2.0  # bursts that are refilled in a window: each edge may let pass one more
+REFILL_PART = 1.0 - 1.0 / WINDOW_BURSTS  # of the refill; with the burst at a window's start it makes the rate
 HOT_CALLS = 2.0  # calls for a customer beyond its quota, for each that is likely to find room
 SMOOTH = 0.2  # share of a new reading in a running mean: about the last ten readings count
 PACE_SMOOTH = 0.03  # the same for answer times: work varies as much as its mean, so some thirty must count
@@ -72,11 +74,13 @@
     """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
 
     __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "guess", "limit_at", "looks", "lost",
-                 "open", "over", "own", "owed", "seen_others", "seen_own", "short_at", "total",
-                 "window")
+                 "open", "over", "own", "owed", "rate", "seen_others", "seen_own", "short_at", "spare",
+                 "total", "window", "window_at")
 
-    def __init__(self, burst: float, now: int) -> None:
-        self.burst, self.debt, self.at = burst, 0.0, now
+    def __init__(self, plan: Plan, now: int) -> None:
+        self.burst, self.rate, self.debt, self.at = plan.burst, plan.rate, 0.0, now
+        self.spare = 0.0  # units refilled since the last total that found no debt here
+        self.window_at = now  # when the window began
         self.window, self.total, self.own = -1, 0.0, 0.0  # window number, last total in it, own adds in it
         self.looks, self.over = 0.0, 0.0  # decisions by total, and refusals among them, fading
         self.excess = 0.0  # units in the window's totals that found no room in the burst
@@ -89,6 +93,22 @@
         self.short_at = now - NAME_LIFE  # when it was last found to have no room
         self.open = 0
 
+    def refill(self, now: int) -> None:
+        """Move the debt on to now."""
+        back = self.rate * (now - self.at) / SECOND
+        self.spare += max(0.0, back - self.debt)
+        self.debt, self.at = max(0.0, self.debt - back), now
+
+    def refilled(self, others: float, now: int) -> float:
+        """What has been refilled of the others' use since the last total, as if they had come evenly.
+
+        Guards customers that come through many gateways: each of them sees the use of a whole window at once,
+        and would take all of it for a debt of this moment. Harmless where a gateway looks often.
+        """
+        spare = min(self.spare, self.rate * (now - self.window_at) / SECOND)
+        self.spare = 0.0
+        return min(max(0.0, others), REFILL_PART * spare)
+
     def take(self, units: float) -> None:
         """The use of others, or what they have taken back: first of what was on top of the burst.
 
@@ -331,7 +351,7 @@
         """The customer's state, moved on to now. Customers long unheard of are dropped."""
         customer = self._customers.get(request.customer)
         if customer is None:
-            customer = self._customers[request.customer] = _Customer(plan.burst, self._now)
+            customer = self._customers[request.customer] = _Customer(plan, self._now)
             # The ceiling's share starts empty at boot, so that no restart refills it.
             customer.limit_at = self._born
         self._customers.move_to_end(request.customer)
@@ -341,7 +361,7 @@
                 del self._customers[name]
         if plan.rate > 0:
             passed = (self._now - customer.at) / SECOND
-            customer.debt = max(0.0, customer.debt - plan.rate * passed)
+            customer.refill(self._now)
             fade = math.exp(-passed * plan.rate / plan.burst / LOOK_WINDOWS)
             customer.looks, customer.over = customer.looks * fade, customer.over * fade
         customer.at = self._now
@@ -362,7 +382,7 @@
 
     def _window(self, customer_id: int, plan: Plan) -> tuple[int, int]:
         """The customer's window number and its length; edges of different customers fall apart."""
-        length = max(SECOND, min(NAME_LIFE // 2, int(plan.burst / plan.rate * SECOND)))
+        length = max(SECOND, min(NAME_LIFE // 2, int(WINDOW_BURSTS * plan.burst / plan.rate * SECOND)))
         return (self._now + customer_id * 7919 % length) // length, length
 
     def _enter_window(self, job: _Job, plan: Plan) -> tuple[int, int]:
@@ -371,6 +391,7 @@
         name = (job.request.customer << 24 | number & 0xFFFFFF) & 0xFFFFFFFFFFFFFFFF
         if job.customer.window != name:
             job.customer.window, job.customer.total, job.customer.own, job.customer.lost = name, 0.0, 0.0, 0.0
+            job.customer.window_at = self._now - (self._now + job.request.customer * 7919 % length) % length
             job.customer.guess, job.customer.excess = 0.0, 0.0  # totals tell nothing of the time before
             job.customer.owed = max(0.0, job.customer.owed)  # this count never held what would be taken back
         return name, length
@@ -397,13 +418,12 @@
                 self._decide_alone(job, self._s.plans[job.request.plan])
             return
         self._failed = 0
+        customer.refill(self._now)
         others = self._take_total(customer, event.name, amount, event.total)
         if job is None or not job.held:
             customer.take(others)
             return
         plan = self._s.plans[job.request.plan]
-        customer.debt = max(0.0, customer.debt - plan.rate * (self._now - customer.at) / SECOND)
-        customer.at = self._now
         customer.take(others)
         customer.backlog += SMOOTH * (max(0.0, amount - job.added) - customer.backlog)
         over = not self._within(job, plan, job.request.units)
@@ -433,7 +453,7 @@
         customer.seen_own += amount + shown - SMOOTH * customer.seen_own
         customer.seen_others += others - SMOOTH * customer.seen_others
         guess, customer.guess = customer.guess, 0.0
-        return others - guess
+        return others - guess - customer.refilled(others - guess, self._now)
 
     def _on_late(self, event: CountedLate) -> None:
         """The total of a call that had ended without one: nobody waits for it, but it is as true as any.
