Keep a watch that speaks: ask beside a silent one, read indented lists, refuse older news

A draining entry with an odd address was left out, and its server kept being sent to. - `move` lost hold of a connect under way: when it came up all the same it asked, and was never closed.

Now another watch is opened beside one that doesn't answer within 0.3 s or is silent for 4.2 s; whichever speaks first stays. Objects are cut by where they end; one that breaks off opens the watch anew from the version at hand. Ruled out: news queued behind requests (`Engine.news` goes first).

The test that a silent watch is closed is replaced: the silent one is closed once another speaks, not before, since what it still tells is true.

--- a/lynxreel/discovery.py
+++ b/lynxreel/discovery.py
@@ -6,6 +6,7 @@
 import json
 import math
 import random
+import re
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -17,10 +18,14 @@
 from mothgap.settings import Names
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
-SILENT = 5.0  # seconds: over two of the watch's heartbeats
-RETRY = 0.2  # seconds, at most, before a watch that was good is opened again: its last news may lack a drain
-MOST_RETRY = 4.0  # seconds; as forty gateways ask then, it is some ten calls a second for the fleet
-MOST_LINE = 4 * 1024 * 1024  # bytes of one line; more is no list
+SILENT = 4.2  # seconds: over two of the watch's heartbeats; what it misses counts as told after 6 s
+ANSWER = 0.3  # seconds in which the agent on this machine answers a new watch; then another is tried too
+RETRY = 0.1  # seconds, at most, before a watch that was good is opened again: its last news may lack a drain
+MOST_RETRY = 0.2  # seconds; what the agent has counts as told, and a drain's grace is short; asking is free
+MOST_TRIES = 6  # watches opened that have not spoken yet; of more the oldest is closed
+MOST_OBJECT = 4 * 1024 * 1024  # bytes of one object; more is no list
+MOST_VERSION = 1 << 63  # a number past that is no version, and would make all later news look old
+BLANK_LINE = re.compile(rb"\n[ \t\r]*\n")
 Address = tuple[str, int]
 NOWHERE: Address = ("", 0)
 UNREADABLE = (ArithmeticError, AttributeError, KeyError, TypeError, ValueError)  # what odd JSON leads to
@@ -36,10 +41,20 @@
 
 
 def _read_entry(item: Any, names: Names) -> tuple[Member, Address]:
+    """An entry. One that must be sent nothing is taken by its name alone where the rest can't be read."""
+    state = STATES[item["lifecycle"]]
+    try:
+        return _read_whole(item, state, names)
+    except UNREADABLE:
+        if state is State.READY:
+            raise
+        return Member(str(item["instanceId"]), state), NOWHERE
+
+
+def _read_whole(item: Any, state: State, names: Names) -> tuple[Member, Address]:
     weight = float(item.get("weight", 1.0))
     if not math.isfinite(weight):
         raise ValueError("weight")
-    state = STATES[item["lifecycle"]]
     member = Member(
         server=str(item["instanceId"]),
         state=state,
@@ -60,53 +75,108 @@
 
     An entry that can't be read is left out: it must not keep the others from being told, at each retry again.
     """
+    version, items = data["generation"], data["instances"]
+    if type(version) is not int or not 0 <= version < MOST_VERSION or not isinstance(items, list):
+        raise ValueError("no version or no list")
+    if kind is None:
+        if not isinstance(data["reset"], bool):
+            raise ValueError("reset")
+        kind = ListKind.FULL if data["reset"] else ListKind.CHANGES
     lines = []
-    for item in data["instances"]:
+    for item in items:
         try:
             lines.append(_read_entry(item, names))
         except UNREADABLE as wrong:
             log(f"discovery has an entry that can't be read: {wrong!r} in {str(item)[:200]}")
-    if kind is None:
-        kind = ListKind.FULL if data["reset"] else ListKind.CHANGES
-    return Members(kind, int(data["generation"]), tuple(member for member, _ in lines)), lines
+    if items and not lines and kind is not ListKind.CHANGES:
+        raise ValueError("a whole list without an entry that can be read")
+    return Members(kind, version, tuple(member for member, _ in lines)), lines
+
+
+class _Objects:
+    """Cuts the watch's text into JSON objects: one a line or indented over many, blank lines between them."""
+
+    def __init__(self) -> None:
+        self._text = b""
+        self._json = json.JSONDecoder()
+
+    def empty(self) -> bool:
+        """True between objects."""
+        return not self._text
+
+    def feed(self, data: bytes) -> list[Any]:
+        """The objects that are whole now. ValueError where the text is no object, or one was broken off."""
+        self._text += data
+        end = max(self._text.rfind(b"}\n"), self._text.rfind(b"}\r")) + 1  # an object may be whole only there
+        if self._text.endswith(b"}"):
+            end = len(self._text)
+        found = self._cut(self._text[:end].decode()) if end else []
+        self._text = self._text.lstrip()
+        if self._text and (not self._text.startswith(b"{") or BLANK_LINE.search(self._text)):
+            raise ValueError("an object without an end")
+        if len(self._text) > MOST_OBJECT:
+            raise ValueError("too much for one object")
+        return found
+
+    def _cut(self, text: str) -> list[Any]:
+        """Take whole objects off the text."""
+        found, at = [], 0
+        while rest := text[at:].lstrip():
+            at = len(text) - len(rest)
+            try:
+                item, at = self._json.raw_decode(text, at)
+            except json.JSONDecodeError as wrong:
+                if wrong.pos < len(text) and not wrong.msg.startswith("Unterminated string"):
+                    raise
+                break  # more of it is to come
+            found.append(item)
+        self._text = self._text[len(text[:at].encode()) :]
+        return found
 
 
 class _Watch(asyncio.Protocol):
-    """One watch, until its connection ends."""
+    """One watch, from its connect to its end."""
 
     def __init__(self, discovery: Discovery) -> None:
         self._discovery = discovery
         self._http = h11.Connection(h11.CLIENT)
-        self._line = b""
+        self._objects = _Objects()
         self._timer: asyncio.TimerHandle | None = None
+        self._dropped = False
         self.transport: asyncio.Transport | None = None
-        self.ended = discovery.loop.create_future()
+        self.spoke = False  # it has told something, if only that nothing has changed
+        self.settled: asyncio.Future[None] = discovery.loop.create_future()  # it has spoken, or is over
+        self.over: asyncio.Future[None] = discovery.loop.create_future()  # it has ended, or fallen silent
+        self._task = discovery.loop.create_task(self._open())
 
-    def itself(self) -> _Watch:
-        """The protocol for its connection."""
-        return self
+    async def _open(self) -> None:
+        try:
+            await self._discovery.loop.create_connection(lambda: self, *self._discovery.address)
+        except (OSError, ValueError):
+            self.drop()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask for what changed after the version at hand."""
         transport = cast(asyncio.Transport, transport)
         self.transport = transport
+        if self._dropped:  # while it came up
+            self.drop()
+            return
         target = f"/v1/servers?watch=1&from={self._discovery.version}"
         host = ":".join(map(str, self._discovery.address))
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
         transport.write((self._http.send(request) or b"") + (self._http.send(h11.EndOfMessage()) or b""))
-        self._heard()
 
-    def _heard(self) -> None:
+    def data_received(self, data: bytes) -> None:
+        """Objects, and blank lines as heartbeats; anything else ends the watch."""
+        if self._dropped:
+            return
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._discovery.loop.call_later(SILENT, self.drop)
-
-    def data_received(self, data: bytes) -> None:
-        """Lines of JSON, empty ones as heartbeats; anything else ends the watch."""
-        self._heard()
+        self._timer = self._discovery.loop.call_later(SILENT, self._finish, self.over)
         try:
             self._http.receive_data(data)
-            while True:
+            while not self._dropped:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     break
@@ -122,29 +192,37 @@
             self.drop()
 
     def _read(self, data: bytes) -> None:
-        *lines, self._line = (self._line + data).split(b"\n")
-        for line in lines:
-            if line.strip():
-                self._discovery.take(json.loads(line))
-        if len(self._line) > MOST_LINE:
-            raise ValueError("a line without an end")
+        found = self._objects.feed(data)
+        for item in found:
+            self._discovery.take(item)
+        if not self.spoke and (found or self._objects.empty()):
+            self.spoke = True
+            self._discovery.adopt(self)
+            self._finish(self.settled)
+
+    @staticmethod
+    def _finish(future: asyncio.Future[None]) -> None:
+        if not future.done():
+            future.set_result(None)
 
     def drop(self) -> None:
-        """Close: silent for too long, over, or garbage."""
+        """Close, or give its connect up: it is over, replaced, or garbage."""
+        self._dropped = True
         if self.transport is not None:
             self.transport.abort()
+        self._task.cancel()
+        self.connection_lost(None)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Over; another follows."""
-        self.transport = None
         if self._timer is not None:
             self._timer.cancel()
-        if not self.ended.done():
-            self.ended.set_result(None)
+        self._finish(self.settled)
+        self._finish(self.over)
 
 
 class Discovery:
-    """Keeps one watch open."""
+    """Keeps one watch open that speaks. An older one tells on until a newer one has spoken."""
 
     def __init__(
         self,
@@ -160,42 +238,65 @@
         self.version = version
         self.told = asyncio.Event()  # something has been heard since the start
         self.address, self._names, self._news = address, names, news
-        self._watch: _Watch | None = None
+        self._watch: _Watch | None = None  # the last one that has spoken
+        self._tries: list[_Watch] = []  # those that have not spoken yet
         self._task = loop.create_task(self._keep())
 
     def move(self, address: Address) -> None:
-        """Watch at another address, from the version at hand. The old watch tells on until that one is up."""
+        """Watch at another address, from the version at hand. The old one tells on until one there speaks."""
         if address == self.address:
             return
         self.address = address
         self._task.cancel()
+        self._drop_tries()
         self._task = self.loop.create_task(self._keep())
 
     def take(self, data: Any) -> None:
-        """One line of the watch."""
+        """One object of a watch. One older than what is known tells nothing, whoever sends it."""
         members, lines = read_list(data, self._names)
+        if members.version < self.version:
+            log(f"discovery told of version {members.version} after {self.version}; it stays with that")
+            return
         self.version = members.version
         self._backoff.reset()
         if lines or members.kind is ListKind.FULL:
             self._news(members, lines)
         self.told.set()
 
+    def adopt(self, watch: _Watch) -> None:
+        """This one speaks: the others are not needed any more."""
+        self._tries.remove(watch)
+        before, self._watch = self._watch, watch
+        if before is not None:
+            before.drop()
+        self._drop_tries()
+
+    def _drop_tries(self) -> None:
+        for watch in self._tries:
+            watch.drop()
+        self._tries.clear()
+
     async def _keep(self) -> None:
+        """Open watches until one speaks, then wait until it is over or silent.
+
+        One that doesn't answer at once is left open beside the next: an agent that has been silent may answer
+        any of them when it is back, and what it has then counts as told.
+        """
         while True:
+            self._tries = [watch for watch in self._tries if not watch.over.done()]
+            if len(self._tries) >= MOST_TRIES:
+                self._tries.pop(0).drop()
             watch = _Watch(self)
-            try:
-                async with asyncio.timeout(SILENT):
-                    await self.loop.create_connection(watch.itself, *self.address)
-                before, self._watch = self._watch, watch
-                if before is not None:
-                    before.drop()
-                await watch.ended
-            except OSError:  # a time-out is one, too
-                watch.drop()
+            self._tries.append(watch)
+            await asyncio.wait([watch.settled], timeout=ANSWER)
+            # Another of them may have been the one to speak.
+            if self._watch is not None and not self._tries:
+                await asyncio.wait([self._watch.over])
             await asyncio.sleep(self._backoff.pause())
 
     def close(self) -> None:
         """The end of the process."""
         self._task.cancel()
+        self._drop_tries()
         if self._watch is not None:
             self._watch.drop()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,7 +4,7 @@
 import json
 import random
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
@@ -127,17 +127,189 @@
     assert all(span / 2 <= pause <= span for pause, span in zip(pauses, spans, strict=True))
 
 
-def test_a_silent_watch_is_dead_and_heartbeats_keep_one_alive(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_silent_watch_tells_on_until_another_speaks(monkeypatch: pytest.MonkeyPatch) -> None:
+    # What a silent watch misses counts as told soon after; what it tells after all is no less true.
     async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
-        await peer.hear()
-        assert (await peer.hear())[1] == b""  # closed from the other end
-        assert b"from=41 " in await peer.answer(HEAD + chunk(b"\n"))
+        await peer.answer(HEAD + chunk(line(42)))
+        await told.get()
+        writer, heard = await peer.hear()  # nothing was closed before that
+        assert b"from=42 " in heard
+        monkeypatch.setattr(module, "SILENT", 9.0)
+        peer.writers[0].write(chunk(line(43)))
+        assert (await told.get())[0].version == 43
+        writer.write(HEAD + chunk(b"\n"))
+        while (await peer.hear())[1] != b"":
+            pass
+        writer.write(chunk(line(44)))
+        assert (await told.get())[0].version == 44
 
-    assert module.SILENT > 2 * 2.0  # two heartbeats
+    assert 2 * 2.0 < module.SILENT < 6.0 - 1.0  # two heartbeats; with time to open another before it matters
     monkeypatch.setattr(module, "SILENT", 0.05)
     play(scenario)
 
 
+def test_an_agent_that_says_nothing_is_asked_again_and_may_answer_any_of_the_watches() -> None:
+    # One that is back after an outage answers at once, perhaps on a connection it had taken before.
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        first, _ = await peer.hear()
+        second, heard = await peer.hear()
+        assert heard.startswith(b"GET ") and second is not first
+        first.write(HEAD + chunk(line(42)))
+        assert (await told.get())[0].version == 42
+        while (ended := await peer.hear())[1] != b"":
+            pass
+        assert ended[0] is not first
+
+    assert module.ANSWER + module.MOST_RETRY <= 0.5  # the least grace of a drain that the settings have had
+    play(scenario)
+
+
+def test_watches_without_an_answer_do_not_pile_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "ANSWER", 0.001)
+    monkeypatch.setattr(module, "MOST_RETRY", 0.001)
+    monkeypatch.setattr(module, "RETRY", 0.001)
+
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        opened = closed = 0
+        while opened < 3 * module.MOST_TRIES:
+            heard = (await peer.hear())[1]
+            opened, closed = opened + (heard != b""), closed + (heard == b"")
+        assert opened - closed <= module.MOST_TRIES + 1  # one may be on its way
+
+    play(scenario)
+
+
+INDENTED = json.dumps(json.loads(line(42)), indent=2).encode() + b"\n"
+CUT = INDENTED[: INDENTED.index(b'"zone"')]
+
+
+@pytest.mark.parametrize("step", [1, 7, 100_000])
+@pytest.mark.parametrize("text", [INDENTED, b"\r\n" + INDENTED.replace(b"\n", b"\r\n"), INDENTED.strip()])
+def test_an_object_may_come_indented_and_in_pieces(text: bytes, step: int) -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await peer.answer(HEAD)
+        for at in range(0, len(text), step):
+            peer.writers[0].write(chunk(text[at : at + step]))
+            await asyncio.sleep(0)
+        assert (await told.get())[0].members[0].server == "s-1"
+        peer.writers[0].write(chunk(b"\n" + line(43)))
+        assert (await told.get())[0].version == 43
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("text", [INDENTED + line(43), line(42).strip() + line(43), line(42) + line(43)[:-1]])
+def test_objects_that_come_together_are_all_taken(text: bytes) -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await peer.answer(HEAD + chunk(text))
+        assert [(await told.get())[0].version for _ in range(2)] == [42, 43]
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("rest", [b"\n\n", line(43), INDENTED, b"]}\n"])
+def test_after_an_object_that_breaks_off_the_watch_is_opened_again(rest: bytes) -> None:
+    # What follows would be taken for its rest, for as long as heartbeats keep the watch up.
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await peer.answer(HEAD + chunk(line(42)) + chunk(CUT.rstrip(b" ")) + chunk(rest))
+        assert (await told.get())[0].version == 42
+        while (heard := (await peer.hear())[1]) == b"":
+            pass
+        assert b"from=42 " in heard
+        assert told.empty()
+
+    play(scenario)
+
+
+def test_older_news_never_undoes_newer() -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await peer.answer(HEAD + chunk(line(45, lifecycle="DRAINING")))
+        assert (await told.get())[0].members[0].state is State.DRAINING
+        async with Peer() as other:  # moved to one that lags behind
+            watch.move((LOCAL, other.port))
+            await other.answer(HEAD + chunk(line(44, reset=True)) + chunk(line(44)) + chunk(line(46)))
+            assert (await told.get())[0].version == 46
+            assert watch.version == 46
+            watch.close()
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"reset": "false"}, {"reset": None}, {"generation": 1 << 80}, {"generation": -1},
+     {"generation": "43"}, {"generation": 43.0}, {"generation": True}, {"instances": {}},
+     {"instances": "none"}, {"instances": None}, {"reset": True, "instances": [3, {}]}],
+)  # fmt: skip
+def test_an_odd_list_changes_nothing_and_the_watch_is_opened_again(fields: dict[str, Any]) -> None:
+    # Taken for what it seems, it would leave nobody to send to, or make all later news look old.
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await peer.answer(HEAD + chunk(json.dumps(json.loads(line(42)) | fields).encode() + b"\n"))
+        while (heard := (await peer.hear())[1]) == b"":
+            pass
+        assert b"from=41 " in heard
+        assert told.empty()
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("lifecycle", ["DRAINING", "DELETED"])
+@pytest.mark.parametrize(
+    "fields", [{"hostPort": None}, {"hostPort": "x"}, {"weight": "x"}, {"cell": None}, {"zone": []}]
+)
+def test_one_to_be_sent_nothing_is_told_of_however_odd_its_entry(
+    lifecycle: str, fields: dict[str, Any]
+) -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await peer.answer(HEAD + chunk(line(44, lifecycle=lifecycle, **fields)))
+        (member,) = (await told.get())[0].members
+        assert (member.server, member.state) == ("s-1", module.STATES[lifecycle])
+
+    play(scenario)
+
+
+class Late:
+    """A loop whose connects are held up, and come up although they have been cancelled."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.asked, self.go_on, self.done = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+    async def create_connection(self, *args: Any) -> Any:
+        self.asked.set()
+        try:
+            await self.go_on.wait()
+        except asyncio.CancelledError:
+            self._loop.create_task(self._loop.create_connection(*args)).add_done_callback(self._finish)
+            raise
+        return await self._loop.create_connection(*args)
+
+    def _finish(self, _: object) -> None:
+        self.done.set()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
+
+
+def test_a_connect_that_comes_up_as_the_watch_moves_is_not_used() -> None:
+    async def scenario() -> None:
+        told: Told = asyncio.Queue()
+        async with Peer() as peer, Peer() as other:
+            late = Late()
+            loop = cast(asyncio.AbstractEventLoop, late)
+            address, chance = (LOCAL, peer.port), random.Random(1)
+            watch = Discovery(address, 41, NAMES, lambda *news: told.put_nowait(news), loop, chance)
+            await late.asked.wait()
+            watch.move((LOCAL, other.port))
+            await late.done.wait()
+            assert (await peer.hear())[1] == b""  # closed with nothing asked
+            late.go_on.set()
+            assert b"from=41 " in (await other.hear())[1]
+            watch.close()
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     "fields",
     [{"lifecycle": "ODD"}, {"lifecycle": []}, {"hostPort": "here"}, {"hostPort": "h:99999"}, {"weight": "x"},
