Send nothing on a connection that comes up after its request is over

Read and confirmed in `lynxreel/gateway.py` and `servers.py`: `_close` ended a request and left its attempt waiting for a connection; `_connect` then wrote it whenever that came up, up to the settings' connect time-out later, for a client that had left or had been answered. The same for one of which part was still unwritten.

Now the end of a request withdraws an attempt that has not been written, and tells the module that it was not sent.

--- a/lynxreel/gateway.py
+++ b/lynxreel/gateway.py
@@ -53,6 +53,9 @@
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up."""
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Its request is over: end it as not sent, unless it has been written."""
+
 
 class Counter(Protocol):
     """Where counts go."""
@@ -250,6 +253,10 @@
             return None
         held.over = True
         held.deadline.cancel()
+        if held.out:  # one that still waits for its connection would be work for nobody
+            for number in range(held.attempts):
+                if (attempt := self._out.get((request, number))) is not None:
+                    self.backend.withdraw(attempt)
         self._forget_id(held)
         return held
 
--- a/lynxreel/servers.py
+++ b/lynxreel/servers.py
@@ -64,7 +64,7 @@
         self.home = pool.home
         self._reader = resp.Reader(ANSWER, answers=True)
         self._poll = select.poll()
-        self._unwritten = False  # part of the request has not left this process
+        self.unwritten = False  # part of the request has not left this process
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
@@ -99,11 +99,11 @@
 
     def pause_writing(self) -> None:
         """Bytes wait in this process."""
-        self._unwritten = True
+        self.unwritten = True
 
     def resume_writing(self) -> None:
         """All bytes have left."""
-        self._unwritten = False
+        self.unwritten = False
 
     def data_received(self, data: bytes) -> None:
         """An answer, or a part of one; anything else ends the connection."""
@@ -119,7 +119,7 @@
         if answer is None and attempt is not None:
             return
         # It is used again only after an answer that is known, with nothing behind it.
-        good = attempt is not None and self._reader.empty() and not self._unwritten
+        good = attempt is not None and self._reader.empty() and not self.unwritten
         self.attempt = None
         if attempt is not None and answer is not None:
             good &= self.pool.servers.answered(attempt, answer)
@@ -149,7 +149,7 @@
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             self.note(True)
-            self.pool.servers.end(attempt, Result.CONNECT_FAILED if self._unwritten else Result.RESET)
+            self.pool.servers.end(attempt, Result.CONNECT_FAILED if self.unwritten else Result.RESET)
 
 
 class Pool:
@@ -296,6 +296,21 @@
         """Give an attempt up."""
         self._leave(attempt, Result.CANCELLED)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Its request is over: end it as not sent, unless all of it has been written."""
+        out = self._out.get(attempt)
+        if out is None:
+            return
+        connection = out[1]
+        if connection is None:
+            self._connects.pop(attempt).cancel()
+        elif connection.unwritten:
+            connection.attempt = None
+            connection.drop()
+        else:
+            return
+        self.end(attempt, Result.NOT_SENT)
+
     def _timed_out(self, attempt: Attempt) -> None:
         self._leave(attempt, Result.TIMEOUT)
 
