See clients leave whose connections are not being read

Read and confirmed in `lynxreel/clients.py`: a connection that is held (64 commands open, paced after what is no call, or its answers unread) is not polled, so its client's end showed only when something was written to it. Till then its requests were retried at servers, and the commands behind them were sent one by one as answers made room. `connection_lost` also came only after all written answers were flushed.

Now held connections are looked at for that ten times a second, and an end of reading is an end of the client at once.

--- a/lynxreel/clients.py
+++ b/lynxreel/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import re
+import select
 from collections import deque
 from dataclasses import dataclass
 from itertools import islice
@@ -20,6 +21,7 @@
 CUSTOMERS = 1 << 33
 BACKLOG = 1_024
 HALF_READ = 1.0  # seconds that a stop waits for the rest of a command: longer than one is under way
+LOOK = 0.1  # seconds between looks for clients that left connections which are not read
 MOST_OPEN = 64  # commands of one connection that wait for their answers; more are not read yet
 TURN = 64  # commands taken from one connection before others have their turn
 PAUSE = 0.05  # seconds without reading after a command that is no call: repeats must not take the others' CPU
@@ -144,6 +146,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has come."""
         self.transport = cast(asyncio.Transport, transport)
+        self.descriptor: int = transport.get_extra_info("socket").fileno()
         self._clients.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -226,6 +229,7 @@
     def _hold(self, why: int) -> None:
         if not self._holds and not self.transport.is_closing():
             self.transport.pause_reading()
+            self._clients.watch(self)
         self._holds |= why
 
     def _release(self, why: int) -> None:
@@ -233,6 +237,7 @@
         self._holds &= ~why
         if self._ending or self._holds or self.transport.is_closing():
             return
+        self._clients.unwatch(self)
         self._read()
         if not self._holds and not self._ending:
             self.transport.resume_reading()
@@ -247,10 +252,31 @@
                 self._clients.wait_for(self)  # closed when all is written, or cut off when that never happens
             self.transport.close()
 
+    def cut(self) -> None:
+        """Close at once."""
+        self._clients.unwatch(self)
+        self.transport.abort()
+
+    def leave(self) -> None:
+        """The client has gone; nothing is owed to it any more."""
+        self._ending = True
+        queue, self.queue = self.queue, deque()
+        for call in queue:
+            if call.request:
+                self._clients.engine.gone(call.request)
+
+    def eof_received(self) -> None:
+        """The client has closed. What has been answered is still written, then the transport closes."""
+        self.leave()
+        if self.transport.get_write_buffer_size():
+            self._clients.wait_for(self, again=True)  # cut off when it never reads that
+        else:
+            self._clients.forget(self)
+
     def overdue(self) -> None:
         """It has had its time for a command, or for reading its answers."""
         if self._holds & self.UNREAD or self.transport.is_closing():
-            self.transport.abort()
+            self.cut()
         elif self._reader.empty():
             self.end()
         else:
@@ -267,13 +293,9 @@
         self._release(self.UNREAD)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """The client has gone; nothing is owed to it any more."""
-        self._ending = True
+        """Closed, by either end."""
         self._clients.forget(self)
-        for call in self.queue:
-            if call.request:
-                self._clients.engine.gone(call.request)
-        self.queue.clear()
+        self.leave()
 
 
 class Clients:
@@ -285,6 +307,9 @@
         self.waiting: dict[Connection, float] = {}  # who owes a command, or to read answers; since when
         self.idle: dict[Connection, float] = {}  # who has been answered, and when; the oldest first
         self._most = most
+        self._held: dict[int, Connection] = {}  # those that are not read for now, by descriptor
+        self._hangups = select.poll()
+        self._looking = False
         self._server: asyncio.Server
         self.port = 0
         self.closing = False  # each connection ends as soon as nothing is owed on it
@@ -309,7 +334,7 @@
         crowded = len(self.waiting) > max(1, self._most * NEW_PART)
         victim = silent if crowded else next(iter(self.idle), silent)
         self.forget(victim)
-        victim.transport.abort()
+        victim.cut()
 
     def wait_for(self, connection: Connection, again: bool = False) -> None:
         """It owes something: since now, also where it did before but that has come."""
@@ -328,6 +353,31 @@
         self.connections.discard(connection)
         self.waiting.pop(connection, None)
         self.idle.pop(connection, None)
+        self.unwatch(connection)
+
+    def watch(self, connection: Connection) -> None:
+        """It is not read for now, and so would not show that its client leaves."""
+        self._held[connection.descriptor] = connection
+        self._hangups.register(connection.descriptor, select.POLLRDHUP)
+        if not self._looking:
+            self._looking = True
+            self.loop.call_later(LOOK, self._look)
+
+    def unwatch(self, connection: Connection) -> None:
+        """It is read again, or closed."""
+        if self._held.get(connection.descriptor) is connection:
+            del self._held[connection.descriptor]
+            self._hangups.unregister(connection.descriptor)
+
+    def _look(self) -> None:
+        """Guards the servers against requests of clients that left while their connection was not read."""
+        for descriptor, _ in self._hangups.poll(0):
+            connection = self._held[descriptor]
+            connection.leave()
+            connection.cut()
+        self._looking = bool(self._held)
+        if self._looking:
+            self.loop.call_later(LOOK, self._look)
 
     def sweep(self) -> None:
         """End the connections whose time for what they owe is up, and those that have idled long, if many.
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -375,3 +375,43 @@
             assert await reader.readline() == PONG
 
     play(scenario)
+
+
+@pytest.mark.parametrize("most_open", [1, MOST_OPEN])
+@pytest.mark.parametrize("abrupt", [True, False])
+def test_a_client_that_leaves_a_connection_that_is_not_read_is_noticed(
+    most_open: int, abrupt: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # What it has asked for would be sent to servers, and what waits behind that, too.
+    monkeypatch.setattr("lynxreel.clients.MOST_OPEN", most_open)
+
+    async def scenario(heard: Heard, clients: Clients, connect: Callable[[], Awaitable[Ends]]) -> None:
+        _, writer = await connect()
+        writer.write(b"".join(call(number) for number in range(200)))
+        for _ in range(most_open):
+            got = await heard.calls.get()
+        assert not got.connection.transport.is_reading()
+        if abrupt:
+            writer.transport.abort()
+        else:
+            writer.close()
+        assert {await heard.left.get() for _ in range(most_open)} == set(range(1, most_open + 1))
+        while clients.connections:
+            await asyncio.sleep(0)
+        assert heard.calls.empty()
+
+    play(scenario)
+
+
+def test_a_client_that_leaves_without_reading_its_answers_is_noticed() -> None:
+    async def scenario(heard: Heard, clients: Clients, connect: Callable[[], Awaitable[Ends]]) -> None:
+        _, writer = await connect()
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(call(1) + call(2))
+        first, second = await heard.calls.get(), await heard.calls.get()
+        first.served(b"x" * (64 << 20))  # more than the sockets' buffers hold
+        assert not second.connection.transport.is_reading()
+        writer.write_eof()
+        assert await heard.left.get() == 2
+
+    play(scenario)
