Write nothing new to a server once it is told off, nor to where one was before

Ruled out: `_out` looked up after the end (`end` is the only way out, and both tables change in one step), a connect that completes as it is cancelled (`connection_made` closes it), late answers after a time-out (its connection is closed before the outcome is told).

--- a/lynxreel/servers.py
+++ b/lynxreel/servers.py
@@ -20,7 +20,8 @@
 AGE_DOUBT = 8.0  # uses without a reset that are taken for granted: one chance reset condemns no age
 AGE_TRIAL = 8  # one in so many requests that are safe to repeat tries an age that is not trusted
 SWEEP = 1.0  # seconds between looks for connections that have idled too long
-SETTLE = 0.01  # seconds that a connection rests after an answer: what else comes with it is there by then
+SETTLE = 0.03  # seconds that a connection rests after an answer: a second one comes some milliseconds later
+USE = (b"used=", b"cost=")  # how figures on use begin in error lines
 ANSWER = 3  # items in an answer: the value, the figures on use, the load report
 OWN_LIMITS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 SILENT = 2  # attempts given up in a row after which a server's idle connections are not trusted
@@ -161,7 +162,7 @@
         self.idle: list[Connection] = []  # the last used at the end, so that the others can idle out
         self.all: set[Connection] = set()
         self.silent = 0  # attempts given up since anything came from it
-        self.stop_at: int | None = None  # nothing new may be written from then on
+        self.stopped = False  # it drains or is gone: nothing new may be written
 
     def take(self, safe: bool) -> Connection | None:
         """An idle connection that an attempt can go on: the last used of those that have settled."""
@@ -181,7 +182,7 @@
 
     def give(self, connection: Connection) -> None:
         """A connection carries nothing any more."""
-        if self.stop_at is not None or connection.home != self.home:
+        if self.stopped or connection.home != self.home:
             connection.drop()
         elif connection in self.all:
             connection.idle_since = self.servers.loop.time()
@@ -228,7 +229,7 @@
                 pool.home = (address, member.started_at)
                 pool.drop_idle(self.loop.time())
             if member.state is State.READY:
-                pool.stop_at = None
+                pool.stopped = False
             else:
                 self._stop(pool)
         if whole:
@@ -236,8 +237,8 @@
                 self._stop(self._pools[name])
 
     def _stop(self, pool: Pool) -> None:
-        if pool.stop_at is None:
-            pool.stop_at = self._engine.clock.now() + self._settings.safety.drain_grace
+        if not pool.stopped:
+            pool.stopped = True
             pool.drop_idle(self.loop.time())
 
     def send(self, attempt: Attempt, timeout: int) -> None:
@@ -279,14 +280,17 @@
             raise
         finally:
             self._connects.pop(attempt, None)
-        now = self._engine.clock.now()
-        if not connection.usable() or (pool.stop_at is not None and now >= pool.stop_at):
-            # It did not come up, or only when the drain's grace was over: nothing may be written now.
+        if not connection.usable() or pool.stopped:
+            # It did not come up, or what it goes to wants nothing new. When that was told first is not known
+            # here, so none of the drain's grace is used up.
             connection.drop()
             self.end(attempt, result)
+        elif connection.home != pool.home:
+            connection.drop()
+            self.end(attempt, Result.NOT_SENT)  # the server is another one now, of which this says nothing
         else:
             pool.all.add(connection)
-            self._write(attempt, connection, deadline - now)
+            self._write(attempt, connection, deadline - self._engine.clock.now())
 
     def _write(self, attempt: Attempt, connection: Connection, wait: int) -> None:
         self._out[attempt] = (self._out[attempt][0], connection)
@@ -347,9 +351,11 @@
             return False
         known = {b"BUSY": Result.FULL, b"ERR failed": Result.ERROR}
         words, load = answer, None
-        if answer not in known and self._reports:
-            words, _, load = answer.rpartition(b" ")
-            if not (load.startswith(self._reports) and b"=" in load):
+        while words and words not in known:
+            words, _, figures = words.rpartition(b" ")
+            if figures.startswith(self._reports):
+                load = figures
+            elif not figures.startswith(USE):
                 words = b""
         # Only an exact BUSY tells that it never ran; anything else may have.
         self.end(attempt, known.get(words, Result.ERROR), load=self._load(load))
@@ -382,7 +388,7 @@
         """Look for idle connections, and for servers that are gone and have nothing out any more."""
         self.drop_idle(self.loop.time())
         for name, pool in list(self._pools.items()):
-            if pool.stop_at is not None and self._engine.clock.now() > pool.stop_at and not pool.all:
+            if pool.stopped and not pool.all:
                 del self._pools[name]
         self.loop.call_later(SWEEP, self._sweep)
 
--- a/tests/net.py
+++ b/tests/net.py
@@ -103,3 +103,26 @@
     def give_up(self) -> None:
         for call in self.unanswered:
             call.failed()
+
+
+class Late:
+    """A loop whose connects are held up, and come up although they have been cancelled."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.asked, self.go_on, self.done = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+    async def create_connection(self, *args: Any) -> Any:
+        self.asked.set()
+        try:
+            await self.go_on.wait()
+        except asyncio.CancelledError:
+            self._loop.create_task(self._loop.create_connection(*args)).add_done_callback(self._finish)
+            raise
+        return await self._loop.create_connection(*args)
+
+    def _finish(self, _: object) -> None:
+        self.done.set()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,7 @@
 from lynxreel.discovery import Address, Discovery
 from lynxreel.log import _Log
 from mothgap.interface import ListKind, Member, Members, State
-from tests.net import LOCAL, NAMES, Peer, run
+from tests.net import LOCAL, NAMES, Late, Peer, run
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 Told = asyncio.Queue[tuple[Members, list[tuple[Member, Address]]]]
@@ -268,29 +268,6 @@
     play(scenario)
 
 
-class Late:
-    """A loop whose connects are held up, and come up although they have been cancelled."""
-
-    def __init__(self) -> None:
-        self._loop = asyncio.get_running_loop()
-        self.asked, self.go_on, self.done = asyncio.Event(), asyncio.Event(), asyncio.Event()
-
-    async def create_connection(self, *args: Any) -> Any:
-        self.asked.set()
-        try:
-            await self.go_on.wait()
-        except asyncio.CancelledError:
-            self._loop.create_task(self._loop.create_connection(*args)).add_done_callback(self._finish)
-            raise
-        return await self._loop.create_connection(*args)
-
-    def _finish(self, _: object) -> None:
-        self.done.set()
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._loop, name)
-
-
 def test_a_connect_that_comes_up_as_the_watch_moves_is_not_used() -> None:
     async def scenario() -> None:
         told: Told = asyncio.Queue()
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -15,8 +15,7 @@
 from lynxreel.servers import Servers
 from mothgap import interface as api
 from tests.helpers import SETTINGS
-from tests.net import LOCAL, TERMS, Peer, call, resp, run
-from tests.test_discovery import Late
+from tests.net import LOCAL, TERMS, Late, Peer, call, resp, run
 from tests.test_servers import LONG, OK, at
 
 Ends = tuple[asyncio.StreamReader, asyncio.StreamWriter]
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -13,7 +13,7 @@
 from lynxreel.servers import Ages, Servers
 from mothgap.interface import Limits, Member, Result, State
 from tests.helpers import ONCE, REPEATABLE, SETTINGS
-from tests.net import LOCAL, Heard, Peer, resp, run
+from tests.net import LOCAL, Heard, Late, Peer, resp, run
 
 OK = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$18\r\ninflight=7,queue=2\r\n"
 LONG = 10_000_000  # microseconds
@@ -48,11 +48,10 @@
 class Bench:
     """The servers' side and who it tells."""
 
-    def __init__(self, port: int, most: int = 8, grace: int = 500_000) -> None:
-        settings = replace(FAST, safety=replace(FAST.safety, drain_grace=grace))
+    def __init__(self, port: int, most: int = 8) -> None:
         self.heard, self.next = Heard(), 0
         loop = asyncio.get_running_loop()
-        self.servers = Servers(cast(Engine, self.heard), settings, 60_000_000, most, loop)
+        self.servers = Servers(cast(Engine, self.heard), FAST, 60_000_000, most, loop)
         self.servers.update(at(port), True)
 
     def send(self, timeout: int = LONG, size: int = 10, cls: int = REPEATABLE) -> Attempt:
@@ -80,6 +79,11 @@
         (b"-BUSY inflight=1,queue=3\r\n", (Result.FULL, b"", (3.0, 1.0))),
         (b"-BUSY inflight=nan,queue=3\r\n", (Result.FULL, b"", ())),
         (b"-BUSY inflight=-1,queue=3\r\n", (Result.FULL, b"", ())),
+        (b"-BUSY used=37,cost=4\r\n", (Result.FULL, b"", ())),
+        (b"-BUSY used=x inflight=1,queue=3\r\n", (Result.FULL, b"", (3.0, 1.0))),
+        (b"-ERR failed cost=4\r\n", (Result.ERROR, b"", ())),
+        (b"-used=3\r\n", (Result.ERROR, b"", ())),
+        (b"-BUSY odd used=3\r\n", (Result.ERROR, b"", ())),
         (b"-BUSYX\r\n", (Result.ERROR, b"", ())),
         (b"-BUSY \xff\r\n", (Result.ERROR, b"", ())),
         (b"-BUSY at all\r\n", (Result.ERROR, b"", ())),
@@ -204,12 +208,14 @@
     run(scenario)
 
 
-def test_a_connection_that_comes_up_when_the_grace_is_over_carries_nothing() -> None:
+@pytest.mark.parametrize("state", [State.DRAINING, State.GONE])
+def test_a_connection_that_comes_up_after_its_server_was_told_off_carries_nothing(state: State) -> None:
+    # Also within the grace: it counts from when the agent had the news, and this gateway may have it later.
     async def scenario() -> None:
         async with Peer() as peer:
-            bench = Bench(peer.port, grace=0)
+            bench = Bench(peer.port)
             bench.send(size=11)
-            bench.servers.update(at(peer.port, State.DRAINING), False)
+            bench.servers.update(at(peer.port, state), False)
             assert await bench.end() == (1, Result.CONNECT_FAILED)
             bench.servers.update(at(peer.port), False)
             bench.send(size=12)
@@ -220,10 +226,26 @@
     run(scenario)
 
 
+def test_a_connect_to_where_a_server_was_before_its_restart_is_not_used() -> None:
+    # Another server may be there by then, and what its connection does says nothing of this one.
+    async def scenario() -> None:
+        async with Peer() as peer:
+            bench, late = Bench(peer.port), Late()
+            bench.servers.loop = cast(asyncio.AbstractEventLoop, late)
+            bench.send(size=11)
+            await late.asked.wait()
+            bench.servers.update(at(peer.port, started=7), False)
+            late.go_on.set()
+            assert await bench.end() == (1, Result.NOT_SENT)
+            assert (await peer.hear())[1] == b""
+
+    run(scenario)
+
+
 def test_what_a_draining_server_works_on_may_finish_and_idle_connections_close() -> None:
     async def scenario() -> None:
         async with Peer() as peer:
-            bench = Bench(peer.port, grace=0)
+            bench = Bench(peer.port)
             bench.send()
             writer, _ = await peer.hear()
             bench.servers.update([], True)  # a whole list without it: it is gone
@@ -429,7 +451,7 @@
     # Guards memory: servers are replaced all day under new names.
     async def scenario() -> None:
         async with Peer() as peer:
-            bench = Bench(peer.port, grace=0)
+            bench = Bench(peer.port)
             bench.send()
             writer, _ = await peer.hear()
             bench.servers.update(at(peer.port, State.GONE), False)
