Tell no late total of a counter that was left at a move

Read and confirmed in `lynxreel/counter.py`: after SIGHUP a call still out on the old counter could end late, and its total was told (`CountedLate`) beside those of the new one. A count that began anew there then seemed to hold what others had used on the old one, and members were refused for the rest of the window. The test times a call out on the old counter, moves, and lets the old one answer; before, the total was told. Ruled out: calls in time at the move (they end where they are, and their request is decided by them), and a connect cancelled by the move (uvloop closes its transport).

--- a/lynxreel/counter.py
+++ b/lynxreel/counter.py
@@ -80,7 +80,7 @@
         self.heard = self._counter.loop.time()
         *lines, self._buffer = (self._buffer + data).split(b"\r\n")
         for line in lines:
-            if not self.written or not self._counter.answered(self.written.popleft(), line):
+            if not self.written or not self._counter.answered(self.written.popleft(), line, self.retired):
                 self.drop()
                 return
             self.proven = True
@@ -149,8 +149,8 @@
             task.cancel()
         self._tasks = [self.loop.create_task(self._keep(number)) for number in range(CONNECTIONS)]
 
-    def answered(self, call: _Call, line: bytes) -> bool:
-        """Take an answer; false where it is none."""
+    def answered(self, call: _Call, line: bytes, retired: bool) -> bool:
+        """Take an answer; false where it is none. A late one of a counter that was left tells no total."""
         word, _, rest = line.partition(b" ")
         if call.name is None:
             return line == b"pong"
@@ -160,7 +160,7 @@
             except ValueError:
                 total = math.nan
             if math.isfinite(total):
-                if call.over:
+                if call.over and not retired:
                     self._post(CountedLate(call.name, call.amount, total))
                 self.end(call, Result.OK, total)
                 return True
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -235,3 +235,23 @@
             counter.close()
 
     play(scenario, LONG)
+
+
+def test_a_late_total_of_the_counter_that_was_left_is_not_told() -> None:
+    # It would be taken for what others have used on the new one, where the count may have begun anew.
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
+        counter.add(8, 1.0, 1_000_000)
+        writer, _ = await peer.hear()
+        assert (await told.get()).result is Result.TIMEOUT
+        async with Peer() as other:
+            before = list(counter._lines)
+            counter.move((LOCAL, other.port))
+            while any(line is None or line in before for line in counter._lines):
+                await asyncio.sleep(0.001)
+            writer.write(b"ok 9\r\n")
+            while (await peer.hear())[0] is not writer:  # its end
+                pass
+            assert told.late.empty()
+            counter.close()
+
+    play(scenario, LIMIT)
