Repeat a keyed request only while its key is known when a new connection is up

Read and confirmed in `mothgap/rules.py`, `_fits`: a repeat was allowed until one tick before the key is forgotten, but it goes out when its connection is up, up to the settings' connect time-out later, and then runs twice. The test repeats just before and just after the new edge.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -597,12 +597,16 @@
         return best
 
     def _fits(self, job: _Job, server: _Server) -> bool:
-        """Rule 2: once an attempt may have run, a keyed request stays in its group and within its window."""
+        """Rule 2: once an attempt may have run, a keyed request stays in its group and within its window.
+
+        A further one may still have to wait for its connection before it goes out.
+        """
+        slack = self._s.tick + self._s.limits.connect_timeout
         for line, sent in job.ran:
             if job.cls.effect is Effect.ONCE:
                 return False
             if job.cls.effect is Effect.KEYED:
-                if self._now - sent >= job.cls.key_memory - self._s.tick:
+                if self._now - sent >= job.cls.key_memory - slack:
                     return False
                 if job.cls.group is Group.ZONE and line.zone != server.line.zone:
                     return False
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -45,6 +45,17 @@
     assert kinds(driver.outcome(send.request, Result.ERROR)) in (["Refuse"], ["Fail"])
 
 
+def test_a_keyed_request_is_not_sent_again_where_its_connection_may_come_up_too_late() -> None:
+    # The key may be forgotten by the time a new connection is up and the repeat goes out.
+    keyed = replace(SETTINGS.classes[KEYED], aim=3 * SECOND, key_memory=SECOND)
+    limits = replace(SETTINGS.limits, connect_timeout=250 * MS)
+    for passed, then in ((740 * MS, ["Send"]), (760 * MS, ["Fail"])):
+        driver = Driver(replace(SETTINGS, classes=(SETTINGS.classes[0], keyed), limits=limits))
+        send = driver.admitted(cls=KEYED)
+        driver.now += passed
+        assert kinds(driver.outcome(send.request, Result.ERROR)) == then
+
+
 def test_a_keyed_request_stays_in_its_cell() -> None:
     celled = RequestClass(
         Effect.KEYED, aim=SECOND, deadline=3 * SECOND, worth=1.0, group=Group.CELL, key_memory=SECOND
