Count nothing where the settings have no counter, and judge a fleet by a list that names servers

Ruled out by reading and by the variant sites: plans without a rate (`_on_request` goes straight on; no division by it is reached) and `once` after an unsure outcome (`_fits` refuses every server).

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -531,7 +531,8 @@
             self._enter_window(job, plan)
             customer.debt += cost
             customer.guess += others
-            if not job.added and self._pooled is None and self._failed < BREAKER_TRIP:
+            owes = self._s.counter is not None and self._pooled is None and self._failed < BREAKER_TRIP
+            if owes and not job.added:
                 customer.owed, job.added = customer.owed + job.request.units, job.request.units
             self._try(job)
         else:
@@ -884,7 +885,7 @@
         if event.kind is ListKind.CACHED and self._s.ask_for_list:
             self._out.append(Watch(True))
         named = {line.server: None for line in event.members}
-        if not self._servers and self._s.fleet_size > max(LIMIT_START, len(named)):
+        if named and not self._servers and self._s.fleet_size > max(LIMIT_START, len(named)):
             # One gateway's part of a server's limit is a fraction of an attempt, and little is seen of each.
             self._pooled, self._calling = _Limit(LIMIT_START / self._s.fleet_size, self._now), 0.5
         if event.kind is not ListKind.CHANGES:
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 
-from mothgap.interface import Count, Counter, Outcome, Refuse, Result
-from tests.helpers import CEILING, MS, ONCE, REPEATABLE, SECOND, SETTINGS, Driver, kinds
+from mothgap.interface import Count, Counter, ListKind, Outcome, Refuse, Result, State
+from tests.helpers import CEILING, MS, ONCE, REPEATABLE, SECOND, SETTINGS, Driver, kinds, line
 
 
 def test_units_are_added_before_the_request_goes_on() -> None:
@@ -403,3 +403,27 @@
             driver.wait(10 * MS)
             driver.finish()
         assert len([a for a in driver.actions if isinstance(a, Count)]) < 36
+
+
+def test_without_a_counter_nothing_is_counted_whatever_becomes_of_a_request() -> None:
+    # Where the settings have none a count is a fault; the guess of one that was not sent would be taken back.
+    for pooled in (3, 40):
+        driver = Driver(replace(SETTINGS, counter=None, units_settle=True, fleet_size=pooled), servers=1)
+        send = driver.admitted()
+        driver.members(line(1, state=State.DRAINING))
+        driver.outcome(send.request, Result.CONNECT_FAILED)
+        driver.request()
+        driver.members(line(1))
+        send = driver.admitted(customer=3)
+        life = driver.lives[send.request]
+        life.over = True
+        life.live.clear()
+        driver.feed(Outcome(send.request, 0, send.server, Result.OK, 5 * MS, True, true_units=3.0))
+        assert "Count" not in kinds(driver.actions)
+
+
+def test_an_empty_list_at_the_start_does_not_make_a_fleet_a_large_one() -> None:
+    driver = Driver(replace(SETTINGS, fleet_size=6), servers=0)
+    driver.members(kind=ListKind.CACHED)
+    driver.members(*(line(number) for number in range(1, 9)), kind=ListKind.FULL)
+    assert driver.gateway._pooled is None
