Start without a list that can be read, and wait 0.3 s for discovery's first one

Read and confirmed in `lynxreel/__main__.py`: a `known` list that was missing or odd ended the start, though discovery has the list and the agent answers at once. A start waited 0.1 s for it; on a part of a core, reading the list of two hundred servers can take longer, and the first requests would go by the old list, of which what the agent has counts as told from the process's first moment. A new file that is nested too deep changes nothing, too.

--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -16,14 +16,14 @@
 
 from lynxreel.clients import Clients, Terms
 from lynxreel.counter import Counter
-from lynxreel.discovery import Address, Discovery, read_address, read_list
+from lynxreel.discovery import UNREADABLE, Address, Discovery, read_address, read_list
 from lynxreel.gateway import Engine
 from lynxreel.log import log
 from lynxreel.servers import Servers
 from mothgap.interface import ListKind, Member, Members
-from mothgap.settings import read_names, read_settings
+from mothgap.settings import Names, read_names, read_settings
 
-FIRST_NEWS = 0.1  # seconds that a start waits for discovery before it goes by the list it had last
+FIRST_NEWS = 0.3  # seconds that a start waits for discovery before it goes by the list it had last
 ACCEPT = 0.5  # seconds that new connections are taken after SIGTERM
 KILL_LEAST = 3.0  # seconds: the longest deadline, counted so where it is longer; SIGKILL comes 0.7 s later
 KILL_SPARE = 0.5  # seconds after it when all is answered: SIGKILL may come soon
@@ -44,7 +44,7 @@
         config = read_config()
         discovery_at = read_address(config["discovery"])
         counter_at = None if counter is None else read_address(config["counter"])
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as wrong:
+    except (OSError, RecursionError, *UNREADABLE) as wrong:
         log(f"the new configuration can't be read, the old one stays: {wrong!r}")
         return
     discovery.move(discovery_at)
@@ -52,6 +52,15 @@
         counter.move(counter_at)
 
 
+def read_known(config: dict[str, Any], names: Names) -> tuple[Members, list[tuple[Member, Address]]]:
+    """The list as this gateway last had it; where that can't be read, discovery tells all of it."""
+    try:
+        return read_list(config["known"], names, ListKind.CACHED)
+    except UNREADABLE as wrong:
+        log(f"the list of servers in the configuration can't be read: {wrong!r}")
+        return Members(ListKind.CACHED, 0, ()), []
+
+
 async def serve(config: dict[str, Any]) -> None:
     """Serve until SIGTERM."""
     loop = asyncio.get_running_loop()
@@ -62,7 +71,7 @@
     sockets = int(config["limits"]["sockets"]) - OWN_SOCKETS
     most = int(sockets * SERVER_PART)
     listen, discovery_at = read_address(config["listen"]), read_address(config["discovery"])
-    known, addresses = read_list(config["known"], names, ListKind.CACHED)
+    known, addresses = read_known(config, names)
 
     seed = int(config["seed"], 16)
     engine = Engine(settings, seed, loop)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -89,6 +89,22 @@
     assert err.count(b"\n") == 1
 
 
+@pytest.mark.parametrize("known", [None, {}, [], {"generation": 3, "instances": [{}]}])
+def test_it_starts_without_a_list_that_can_be_read(tmp_path: Path, known: Any) -> None:
+    any_port = ("127.0.0.1", 0)
+    with socket.create_server(any_port) as discovery:
+        ports = [discovery.getsockname()[1], 1, free_port()]
+        with start(tmp_path, json.dumps(config(*ports) | {"known": known})) as process:
+            watch, _ = discovery.accept()
+            assert watch.recv(4096).startswith(b"GET /v1/servers?watch=1&from=0 HTTP/1.1\r\n")
+            with watch, connect(ports[2], process) as client:
+                client.sendall(b"*1\r\n$4\r\nPING\r\n")
+                assert client.recv(64) == b"+PONG\r\n"
+                process.send_signal(signal.SIGTERM)
+            assert process.wait(timeout=30) == 0
+            assert b"can't be read" in process.communicate()[1]
+
+
 def test_sighup_moves_the_watch_and_the_counter_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     # The default of SIGHUP ends the process. It comes under load, perhaps twice, and perhaps during a stop.
     with contextlib.ExitStack() as stack:
