Count open requests over the fleet where a plan caps only these

At fault: `_may_pass` kept such a cap by shares, `concurrency / spread` rounded up, so as many passed as gateways share it, and `_on_request` called no counter for them, against the design's ordinary path.

Now such a request adds one to the member's count of open requests and takes it off when it has ended, in windows of 8 s that heal what was lost; full members are refused without a call for half the time a place takes to be free.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -4,7 +4,8 @@
 
 meter   `_on_request` adds its units to the customer's count on the counter service and waits for the total;
         `_on_counted` lets it go on while the total stays within the allowance, else adds the units back and
-        refuses at once. `_veto` holds ceilings with this gateway's own share, whatever the counter says.
+        refuses at once. `_ask_place` and `_leave_place` count open requests so, where a plan caps only these.
+        `_may_pass` holds ceilings with this gateway's own share, whatever the counter says.
 choose  `_choose` takes the server with the least expected wait among those that may be sent to.
 send    `_send` starts an attempt, with a time-out that leaves room for another one where a repeat is allowed.
 outcome `_on_outcome` learns from how it ended, and sends again where the class and the retry budget allow.
@@ -62,6 +63,9 @@
 LIMIT_RAISE = 1.0  # attempts more, by all gateways, after as many timely answers as a server may hold
 LIMIT_CUT = 0.6  # what is left of a server's limit after an answer that came too late
 GHOST_AIMS = 2.0  # aims after which a server that never answered is taken to have dropped an attempt given up
+PLACE = 1 << 63  # marks the names of counts of open requests; names of units are below it
+PLACE_WINDOW = 8 * SECOND  # microseconds; a place whose giving back was lost is free again after that
+FULL_WAIT = 0.5  # of the mean time until a place is free again; so long a full customer is refused uncounted
 WATCH_AGAIN = 10  # the part of the asking span after which a failed call to the list is made again
 WATCH_TOKEN = 0  # the timer of that; the timers of requests count from 1
 COLD_MARGIN = 0.4  # of the allowed sends to a cold server; the rest is for chance and what others do unevenly
@@ -73,8 +77,9 @@
 class _Customer:
     """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
 
-    __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "guess", "limit_at", "looks", "lost",
-                 "open", "over", "own", "owed", "rate", "seen_others", "seen_own", "short_at", "spare",
+    __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "full_until", "guess", "limit_at",
+                 "looks", "lost", "open", "over", "own", "owed", "rate", "seen_others", "seen_own",
+                 "short_at", "spare",
                  "total", "window", "window_at")
 
     def __init__(self, plan: Plan, now: int) -> None:
@@ -92,6 +97,7 @@
         self.ceiling, self.limit_at = 0.0, now
         self.short_at = now - NAME_LIFE  # when it was last found to have no room
         self.open = 0
+        self.full_until = now  # until then no place is free, as the last count of open requests told
 
     def refill(self, now: int) -> None:
         """Move the debt on to now."""
@@ -231,6 +237,7 @@
         self._jobs: dict[int, _Job] = {}
         self._asked: dict[int, list[int | None]] = {}  # count name: requests of its open calls
         self._amounts: dict[int, list[tuple[_Customer, float]]] = {}
+        self._places: dict[int, tuple[int, _Customer]] = {}  # requests that hold a place, and on which count
         self._usual = [0.0 for _ in settings.classes]  # running mean answer time by class
         # Counter calls failed in a row, each sent after the one before had; when the last one did.
         self._failed, self._failed_at = 0, now - NAME_LIFE
@@ -282,7 +289,7 @@
         if hopeless or not self._may_pass(job, plan) or not self._room(self._rank(job, plan, hot)):
             self._end(job)  # also what comes with no time left for a call and an answer
         elif plan.rate <= 0:
-            self._try(job)
+            self._ask_place(job, plan, patience)
         elif self._s.counter is None:
             self._decide_alone(job, plan)
         elif self._no_room(job, plan):
@@ -376,10 +383,80 @@
     def _may_pass(self, job: _Job, plan: Plan) -> bool:
         """Rule 5, and plans that cap what is out: this gateway's own share, whatever the counter says."""
         spread = max(1, job.request.entry_points)
-        if plan.concurrency and job.customer.open >= -(-plan.concurrency // spread):
+        shared = plan.rate > 0 or self._s.counter is None  # else places are counted
+        if plan.concurrency and shared and job.customer.open >= -(-plan.concurrency // spread):
             return False
         return plan.ceiling_rate <= 0 or job.customer.ceiling >= job.request.units
 
+    def _ask_place(self, job: _Job, plan: Plan, patience: int) -> None:
+        """A plan without a rate: where it caps what is out, a place on the customer's count of open requests.
+
+        Guards the cap against as many requests as gateways share it. The place is given back when the request
+        has ended; each window starts from nothing, as the giving back may be lost. That lets through what was
+        out at its edge once more.
+        """
+        if not plan.concurrency or self._s.counter is None:
+            self._try(job)
+        elif self._now < job.customer.full_until:
+            self._end(job)
+        elif self._failed >= BREAKER_TRIP:
+            if self._now >= self._trial_at:
+                self._trial_at = self._now + TRIAL_EVERY * self._s.counter.time_limit
+                self._add_place(self._place_name(job.request.customer), job.customer, 0.0, None)
+            self._place_alone(job, plan)
+        elif self._random.random() < self._calling:
+            self._add_place(self._place_name(job.request.customer), job.customer, 1.0, job.request.id)
+            if self._s.counter.time_limit > patience:
+                self._set_timer(patience, job.request.id, None)
+        else:
+            self._place_alone(job, plan)
+
+    def _place_name(self, customer_id: int) -> int:
+        number = (self._now + customer_id * 7919 % PLACE_WINDOW) // PLACE_WINDOW
+        return PLACE | customer_id << 24 | number & 0xFFFFFF
+
+    def _add_place(self, name: int, customer: _Customer, amount: float, waiting: int | None) -> None:
+        self._asked.setdefault(name, []).append(waiting)
+        self._amounts.setdefault(name, []).append((customer, amount))
+        self._out.append(Count(name, amount, 2 * PLACE_WINDOW))
+
+    def _place_alone(self, job: _Job, plan: Plan) -> None:
+        """Exception: no count to be had. This gateway keeps to its own share of the cap."""
+        if job.customer.open < -(-plan.concurrency // max(1, job.request.entry_points)):
+            self._try(job)
+        else:
+            self._end(job)
+
+    def _on_place(self, event: Counted, waiting: int | None, customer: _Customer, amount: float) -> None:
+        """The count of a customer's open requests, with this one; what may have been added is given back."""
+        if event.result is Result.OK:
+            self._failed = 0
+        else:
+            self._note_failure(event)
+        if amount <= 0 or waiting is None:
+            return
+        job = self._jobs.get(waiting)
+        if not event.result.never_ran:
+            self._places[waiting] = (event.name, customer)
+        if job is None:
+            self._leave_place(waiting)  # the client has left
+        elif job.held:
+            plan = self._s.plans[job.request.plan]
+            if event.result is not Result.OK:
+                self._place_alone(job, plan)
+            elif event.total > plan.concurrency + 0.5:
+                usual = self._usual[job.request.cls] or METER_PATIENCE * job.cls.aim
+                customer.full_until = self._now + int(FULL_WAIT * usual / plan.concurrency)
+                self._end(job)
+            else:
+                self._try(job)
+
+    def _leave_place(self, request: int) -> None:
+        """Give a request's place back, if it holds one."""
+        name, customer = self._places.pop(request, (0, None))
+        if customer is not None and self._failed < BREAKER_TRIP:
+            self._add_place(name, customer, -1.0, None)
+
     def _window(self, customer_id: int, plan: Plan) -> tuple[int, int]:
         """The customer's window number and its length; edges of different customers fall apart."""
         length = max(SECOND, min(NAME_LIFE // 2, int(WINDOW_BURSTS * plan.burst / plan.rate * SECOND)))
@@ -412,6 +489,9 @@
             del self._asked[event.name], self._amounts[event.name]
         job = self._jobs.get(waiting) if waiting is not None else None
         self._pace_calls(event)
+        if event.name & PLACE:
+            self._on_place(event, waiting, customer, amount)
+            return
         if event.result is not Result.OK:
             self._count_failed(event, customer, amount)
             if job is not None and job.held:
@@ -480,6 +560,10 @@
         elif event.name == customer.window:
             customer.lost += amount
             customer.own += min(0.0, amount)
+        self._note_failure(event)
+
+    def _note_failure(self, event: Counted) -> None:
+        """Calls failed in a row, each sent after the one before had."""
         if event.result is not Result.FULL and self._now - event.elapsed >= self._failed_at:
             self._failed, self._failed_at = self._failed + 1, self._now
 
@@ -724,6 +808,8 @@
         job = self._jobs.get(event.request)
         self._accrue()
         self._live = max(0, self._live - 1)
+        if event.final or job is None:
+            self._leave_place(event.request)
         if server is not None:
             server.out.pop((event.request, event.attempt), None)
             self._pace_limit(server, event, job)
@@ -758,6 +844,8 @@
             self._settle(job, -job.request.units)
         elif job is not None and job.live:
             job.customer.open = max(0, job.customer.open - 1)
+        if job is not None and not job.live:
+            self._leave_place(event.request)
 
     def _pace_limit(self, server: _Server, event: Outcome, job: _Job | None) -> None:
         """Overload: keep so little at a server that answers meet their aims; the rest is refused.
@@ -825,7 +913,8 @@
         if attempt is None:
             # It means nothing to a request that has its total: its attempt has only just begun.
             if job.held:
-                self._decide_alone(job, self._s.plans[job.request.plan])
+                plan = self._s.plans[job.request.plan]
+                (self._decide_alone if plan.rate > 0 else self._place_alone)(job, plan)
             return
         server, sent = job.live.get(attempt, (None, 0))
         # Silence, not slowness: waiting longer on a server that answers others is cheaper than a repeat.
@@ -859,6 +948,8 @@
             if not job.held:
                 job.customer.debt = max(0.0, job.customer.debt - job.request.units)
             self._settle(job, -job.request.units)
+        if not job.live:
+            self._leave_place(job.request.id)
         if harmless:
             self._out.append(Refuse(job.request.id, self._retry_after(job)))
         else:
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -2,7 +2,9 @@
 
 from dataclasses import replace
 
-from mothgap.interface import Count, Counter, ListKind, Outcome, Refuse, Result, State
+import pytest
+
+from mothgap.interface import Count, Counter, ListKind, Outcome, Plan, Refuse, Result, State
 from tests.helpers import CEILING, MS, ONCE, REPEATABLE, SECOND, SETTINGS, Driver, kinds, line
 
 
@@ -427,3 +429,80 @@
     driver.members(kind=ListKind.CACHED)
     driver.members(*(line(number) for number in range(1, 9)), kind=ListKind.FULL)
     assert driver.gateway._pooled is None
+
+
+CAPPED = replace(SETTINGS, plans=(Plan(concurrency=2),))  # open requests only, over all gateways
+
+
+def counts(driver: Driver) -> list[tuple[int, float]]:
+    return [(a.name, a.amount) for a in driver.actions if isinstance(a, Count)]
+
+
+def test_an_open_request_takes_a_place_that_all_gateways_count_and_gives_it_back() -> None:
+    # Shares of a cap, rounded up at each gateway, let pass as many as there are gateways.
+    driver = Driver(CAPPED)
+    assert kinds(driver.request(entry_points=8)) == ["Count"]
+    assert kinds(driver.counted(1.0)) == ["Send"]
+    assert kinds(driver.request(entry_points=8)) == ["Count"]
+    assert kinds(driver.counted(2.0)) == ["Send"]  # a fixed share of one would have refused it
+    driver.outcome(1)
+    assert [amount for _, amount in counts(driver)] == [1.0, 1.0, -1.0]
+    assert len({name for name, _ in counts(driver)}) == 1
+
+
+def test_a_request_without_a_place_is_refused_and_takes_none() -> None:
+    driver = Driver(CAPPED)
+    driver.request()
+    assert kinds(driver.counted(3.0)) == ["Count", "Refuse"]
+    assert [amount for _, amount in counts(driver)] == [1.0, -1.0]
+    assert kinds(driver.request()) == ["Refuse"]  # known to be full, for a moment
+    driver.wait(SECOND)
+    assert kinds(driver.request()) == ["Count"]
+
+
+def test_a_client_that_leaves_gives_its_place_back_when_the_attempt_has_ended() -> None:
+    driver = Driver(CAPPED)
+    driver.request()
+    driver.expire(1)
+    assert kinds(driver.counted(1.0)) == ["Count"]  # while it waited: given back, and nothing is sent
+    driver.counted(0.0)
+    driver.request()
+    driver.counted(1.0)
+    assert driver.expire(2) == []
+    assert kinds(driver.outcome(2)) == ["Count"]
+    assert sum(amount for _, amount in counts(driver)) == 0.0
+
+
+def test_each_end_of_a_request_gives_its_place_back_once() -> None:
+    for result in (Result.OK, Result.ERROR, Result.FULL, Result.RESET, Result.TIMEOUT):
+        driver = Driver(CAPPED)
+        driver.request(cls=ONCE)
+        driver.counted(1.0)
+        while driver.lives[1].live:
+            driver.outcome(1, result)
+        assert driver.lives[1].over
+        assert [amount for _, amount in counts(driver)] == [1.0, -1.0], result
+
+
+@pytest.mark.parametrize(("result", "given_back"), [(Result.TIMEOUT, 2), (Result.FULL, 0)])
+def test_without_its_count_a_gateway_keeps_to_its_share_of_the_cap(result: Result, given_back: int) -> None:
+    # A call that timed out may have been added; one turned away never was.
+    driver = Driver(CAPPED)
+    driver.request(entry_points=2)
+    driver.request(entry_points=2)
+    assert kinds(driver.counted(result=result)) == ["Send"]
+    assert kinds(driver.counted(result=result))[-1] == "Refuse"
+    driver.finish()
+    assert len([amount for _, amount in counts(driver) if amount < 0]) == given_back
+
+
+def test_while_the_counter_is_away_a_gateway_keeps_to_its_share_of_the_cap() -> None:
+    driver = Driver(CAPPED)
+    driver.gateway._failed, driver.gateway._trial_at = 9, driver.now + SECOND
+    assert kinds(driver.request(entry_points=2)) == ["Send"]
+    assert kinds(driver.request(entry_points=2)) == ["Refuse"]
+    driver.now += 2 * SECOND
+    assert kinds(driver.request(entry_points=2)) == ["Count", "Refuse"]  # a trial, which adds nothing
+    assert driver.calls[-1].amount == 0.0
+    driver.counted(5.0)
+    assert kinds(driver.request(entry_points=2)) == ["Count"]
