--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from tests.net import call
 from tests.test_drill import FACTS
 
 ROOT = Path(__file__).parent.parent
@@ -89,6 +90,27 @@
     assert err.count(b"\n") == 1
 
 
+def test_after_sigterm_a_request_that_nobody_answers_is_failed_before_its_time(tmp_path: Path) -> None:
+    # The process may be killed some seconds after SIGTERM, however long clients would wait.
+    any_port = ("127.0.0.1", 0)
+    settings = NAMED | {"classes": [NAMED["classes"][0] | {"giveUpUs": 90_000_000, "goalTimeUs": 90_000_000}]}
+    with contextlib.ExitStack() as stack:
+        discovery, counter, server = (stack.enter_context(socket.create_server(any_port)) for _ in range(3))
+        ports = [discovery.getsockname()[1], counter.getsockname()[1], free_port()]
+        text = config(*ports) | {"settings": settings}
+        text["known"]["instances"][0]["hostPort"] = f"127.0.0.1:{server.getsockname()[1]}"
+        process = stack.enter_context(start(tmp_path, json.dumps(text)))
+        client = stack.enter_context(connect(ports[2], process))
+        client.sendall(call(1, b"c=lookup,t=basic,d=90000,units=1,spread=1,first=0"))
+        attempt = stack.enter_context(server.accept()[0])
+        assert attempt.recv(4096) != b""  # it may run
+        process.send_signal(signal.SIGTERM)
+        assert client.recv(64) == b"-ERR failed\r\n"
+        assert client.recv(64) == b""
+        client.close()
+        assert process.wait(timeout=30) == 0
+
+
 @pytest.mark.parametrize("known", [None, {}, [], {"generation": 3, "instances": [{}]}])
 def test_it_starts_without_a_list_that_can_be_read(tmp_path: Path, known: Any) -> None:
     any_port = ("127.0.0.1", 0)
