--- a/lynxreel/clients.py
+++ b/lynxreel/clients.py
@@ -316,8 +316,9 @@
         self._clients.wait_for(self, again=True)
 
     def resume_writing(self) -> None:
-        """It reads again."""
-        self._clients.waiting.pop(self, None)
+        """It reads again. One that was ended meanwhile still owes its close."""
+        if self.ended_at is None:
+            self._clients.waiting.pop(self, None)
         self._release(self.UNREAD)
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -514,3 +514,23 @@
         await stopping
 
     play(scenario)
+
+
+def test_one_that_reads_all_its_answers_late_and_never_closes_is_cut(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Else it would keep its descriptor for good, and never be the one that makes room.
+    monkeypatch.setattr("lynxreel.clients.SWEEP", 0.01)
+
+    async def scenario(heard: Heard, clients: Clients, connect: Callable[[], Awaitable[Ends]]) -> None:
+        reader, writer = await connect()
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(call(1) + b"nonsense")
+        (await heard.calls.get()).served(b"x" * (16 << 20))  # more than the sockets' buffers hold
+        (connection,) = clients.connections
+        assert connection.ended_at is not None and connection.transport.get_write_buffer_size()
+        writer.transport.resume_reading()  # type: ignore[attr-defined]
+        assert (await reader.read()).endswith(b"unexpected type\r\n")
+        monkeypatch.setattr("lynxreel.clients.PATIENCE", 0.0)
+        while clients.connections:
+            await asyncio.sleep(0)
+
+    play(scenario)
