--- a/mothgap/interface.py
+++ b/mothgap/interface.py
@@ -238,11 +238,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Members:
-    """News of the list of servers."""
+    """News of the list of servers. A long whole list comes in parts: `first` and `last` tell where it ends.
+
+    Each part holds from when it is told; what no part of a whole list names is gone after its last part.
+    A first part begins anew, also where the last one of the list before it never came.
+    """
 
     kind: ListKind
     version: int
     members: tuple[Member, ...]
+    first: bool = True
+    last: bool = True
 
 
 @dataclass(frozen=True, slots=True)
