Keep each gateway to a bounded subset of servers, drawn by hash and filled up when bad

Cause: a request looked at every server of the list (_choose, _room), a changed entry sorted it, and whether a gateway kept to a few hung on there being more gateways than servers. Where it did, the eight were a window by rank of a sorted list, so that each change of its length moved the windows of all.

Change: mothgap/subset.py. Each server draws, by xxh3 of its name, the gateways that share it (sharers: 8 servers a gateway at least, 3 gateways a server at least, all in small fleets). A change moves only the subsets that hold it. Limits, cold budgets and the rest of servers set aside go by the sharers, not by the fleet. With too few warm servers above suspicion a gateway takes guests from outside, each others, none cold; a keyed request finds its cell outside. Whole lists in parts; a new share is applied in parts.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -1,4 +1,5 @@
-"""The decisions of a mothgap gateway. The events, actions and settings are in `mothgap/interface.py`.
+"""The decisions of a mothgap gateway. Its events, actions and settings are in `mothgap/interface.py`, the
+servers that it keeps to in `mothgap/subset.py`.
 
 A request's way, in the order of this file:
 
@@ -18,12 +19,14 @@
 import random
 from collections import OrderedDict
 from itertools import islice
+from collections.abc import Iterator
 
 from mothgap.interface import (
     Action, Cancel, Count, Counted, CountedLate, Effect, Event, Expired, Fail, Group, ListKind, Member,
     Members, Outcome, Plan, Refuse, Request, RequestClass, Result, Send, SetTimer, Settings, State, Timer,
     Watch,
 )  # fmt: skip
+from mothgap.subset import SHARERS_FEW, Roster
 
 SECOND = 1_000_000  # microseconds
 NAME_LIFE = 60 * SECOND  # microseconds; the longest that the counter keeps a name
@@ -62,14 +65,16 @@
 LIMIT_START = 4.0  # attempts out at a server at first, by all gateways: a few for each core
 LIMIT_RAISE = 1.0  # attempts more, by all gateways, after as many timely answers as a server may hold
 LIMIT_CUT = 0.6  # what is left of a server's limit after an answer that came too late
-GHOST_AIMS = 2.0  # aims after which a server that never answered is taken to have dropped an attempt given up
+ABANDON_AIMS = 2.0  # aims after which a server that never answered has surely dropped an attempt given up
 PLACE = 1 << 63  # marks the names of counts of open requests; names of units are below it
 PLACE_WINDOW = 8 * SECOND  # microseconds; a place whose giving back was lost is free again after that
 FULL_WAIT = 0.5  # of the mean time until a place is free again; so long a full customer is refused uncounted
 WATCH_AGAIN = 10  # the part of the asking span after which a failed call to the list is made again
 WATCH_TOKEN = 0  # the timer of that; the timers of requests count from 1
+SHARE_TOKEN = 0xFFFFFFFF  # the timer of the next part of the list, where all of it has to be looked at
+SHARE_PART = 1_000  # entries looked at in one part: some milliseconds
 COLD_MARGIN = 0.4  # of the allowed sends to a cold server; the rest is for chance and what others do unevenly
-SAMPLE = 8  # servers that a gateway of a large fleet keeps to; a choice costs the same in any fleet
+FILL_BELOW = 0.5  # of the subset's usual size; with fewer good servers some from outside fill it up
 STALE = SECOND  # microseconds after which what a server last showed of its load says little
 PACE_TRUST = 10.0  # own answers of a server at which its pace counts as much as the pace of its kind
 
@@ -167,12 +172,13 @@
 class _Server:
     """What this gateway knows of one server."""
 
-    __slots__ = ("answered_at", "aside", "cold_at", "cold_left", "errors", "ghosts", "kind", "limit",
-                 "line", "load", "load_at", "out", "pace", "seen", "trial")
+    __slots__ = ("abandoned", "answered_at", "aside", "cold_at", "cold_left", "errors", "guest", "kind",
+                 "limit", "line", "load", "load_at", "out", "pace", "seen", "trial")
 
     def __init__(self, line: Member, now: int, limit: _Limit, kind: _Kind) -> None:
         self.line, self.limit, self.kind = line, limit, kind
-        self.ghosts: list[int] = []  # when attempts were sent that were given up, but may still wait there
+        self.guest = False  # from outside the subset, as long as that is short of good servers
+        self.abandoned: list[int] = []  # when attempts were sent that were given up, but may still wait there
         self.out: dict[tuple[int, int], int] = {}  # (request, attempt) -> sent at
         self.pace, self.seen = 1.0, 0  # answer time against the usual of the class, and answers behind it
         self.errors = 0.0
@@ -183,7 +189,7 @@
 
     def held(self, since: int) -> int:
         """Attempts that are out, or given up but perhaps still there if sent later than `since`."""
-        return len(self.out) + (sum(ghost > since for ghost in self.ghosts) if self.ghosts else 0)
+        return len(self.out) + (sum(sent > since for sent in self.abandoned) if self.abandoned else 0)
 
     def put_aside(self, now: int, span: int) -> None:
         """Leave it alone, but for one trial after each span."""
@@ -224,12 +230,14 @@
         self._now = now
         self._out: list[Action] = []
         self._servers: dict[str, _Server] = {}
-        self._ready: list[_Server] = []
-        self._near: list[_Server] = []  # of these, the ones that this gateway sends to
+        cells = any(c.effect is Effect.KEYED and c.group is Group.CELL for c in settings.classes)
+        self._roster = Roster(settings.index, settings.fleet_size, cells)
+        self._looking: Iterator[Member] | None = None  # over all entries, as their share has changed
+        self._ready: list[_Server] = []  # those of the subset, and guests, that are ready
         self._kinds: dict[int, _Kind] = {}
-        self._warm_of: dict[int, int] = {}  # warm servers by kind, counted at `_warm_at`
+        self._warm_of: dict[int, int] = {}  # warm servers of the subset by kind, counted at `_warm_at`
         self._warm_at = now - NAME_LIFE
-        self._pooled: _Limit | None = None  # one limit for all, where there are more gateways than servers
+        self._pooled: _Limit | None = None  # one limit for all, where many gateways share each server
         self._live, self._credit, self._credit_at = 0, 0.0, now  # attempts out; attempt-microseconds saved up
         self._mean_value = 1e-9  # running mean of worth for the work
         self._mean_load = 0.0  # running mean of reported loads
@@ -642,7 +650,7 @@
             spent = self._live * (max(self._usual) or METER_PATIENCE * self._longest)
             return self._credit > spent + RESERVE * rank * self._longest
         # What one server holds beyond its limit, all of it given up perhaps, takes no room at the others.
-        old = self._now - int(GHOST_AIMS * self._longest)
+        old = self._now - int(ABANDON_AIMS * self._longest)
         held = sum(min(server.held(old), server.limit.most) for server in self._ready)
         limit = sum(server.limit.most for server in self._ready)
         return limit > 0 and held < max(1.0, limit)
@@ -650,7 +658,7 @@
     def _accrue(self) -> None:
         """Bring the credit up to now."""
         if self._pooled is not None:
-            gain = self._pooled.most * len(self._ready) - self._live
+            gain = self._pooled.most * self._roster.expected() - self._live
             self._credit = min(self._longest, self._credit + gain * (self._now - self._credit_at))
         self._credit_at = self._now
 
@@ -658,19 +666,28 @@
         """The server with the least expected wait, among those that every rule allows for this attempt."""
         if not self._room():
             return None
-        old, ready = self._now - int(GHOST_AIMS * self._longest), self._near
-        suspects = sorted((s for s in ready if self._suspect(s)), key=lambda s: (-s.errors, s.answered_at))
+        suspects = [server for server in self._ready if self._suspect(server)]
+        suspects.sort(key=lambda s: (-s.errors, s.answered_at))
+        self._fill_up(len(suspects))
         # A refused connect proves a server down, so there is no floor under the share of those set aside.
         down = sum(s.errors >= 1.0 for s in suspects)
-        shunned = {s.line.server: None for s in suspects[: max(down, int(ASIDE_MOST * len(ready)))]}
+        ejected = {s.line.server: None for s in suspects[: max(down, int(ASIDE_MOST * len(self._ready)))]}
+        best = self._best(job, avoid, ejected)
+        if best is None and job.ran:
+            best = self._same_cell(job)
+        return best
+
+    def _best(self, job: _Job, avoid: str | None, ejected: dict[str, None]) -> _Server | None:
+        """Of those in the subset, and its guests."""
+        old = self._now - int(ABANDON_AIMS * self._longest)
         best, least = None, 0.0
-        for server in ready:
+        for server in self._ready:
             name = server.line.server
             full = self._pooled is None and server.held(old) >= server.limit.most
-            if full or not self._fits(job, server) or not self._cold_room(server):
+            if full or not self._fits(job, server.line) or not self._cold_room(server):
                 continue
             cost = self._wait(server)
-            if name in shunned:
+            if name in ejected:
                 if server.out or self._now < server.trial or job.cls.effect is Effect.ONCE:
                     continue
                 if self._pooled is None:
@@ -681,7 +698,44 @@
                 best, least = server, cost
         return best
 
-    def _fits(self, job: _Job, server: _Server) -> bool:
+    def _sharers(self) -> int:
+        """Gateways that share a server with this one."""
+        return self._roster.share or self._s.fleet_size
+
+    def _fill_up(self, suspects: int) -> None:
+        """Guests from outside, while too few of the subset are warm and above suspicion; none for longer.
+
+        Each gateway finds others, by chance. None that is cold is taken: the sum over its own gateways is all
+        that it can bear.
+        """
+        self._count_warm()
+        if self._roster.share >= self._s.fleet_size:
+            return
+        good, need = sum(self._warm_of.values()) - suspects, FILL_BELOW * self._roster.expected()
+        if good < need and len(self._ready) < 2.0 * self._roster.expected():
+            line = self._roster.outside(self._could_help, self._random)
+            if line is not None:
+                self._add_guest(line)
+
+    def _could_help(self, line: Member) -> bool:
+        return line.state is State.READY and line.server not in self._servers and not self._is_cold(line)
+
+    def _add_guest(self, line: Member) -> _Server:
+        server = self._add_server(line)
+        server.guest = True
+        self._refresh()
+        return server
+
+    def _same_cell(self, job: _Job) -> _Server | None:
+        """A keyed request goes on in its cell: where the subset has no other of that, one from outside."""
+        if job.cls.effect is not Effect.KEYED or job.cls.group is not Group.CELL:
+            return None
+        line = self._roster.in_cell(job.ran[-1][0].cell, self._could_help, self._random)
+        if line is None or not self._fits(job, line):
+            return None
+        return self._add_guest(line)
+
+    def _fits(self, job: _Job, to: Member) -> bool:
         """Rule 2: once an attempt may have run, a keyed request stays in its group and within its window.
 
         A further one may still have to wait for its connection before it goes out.
@@ -693,9 +747,9 @@
             if job.cls.effect is Effect.KEYED:
                 if self._now - sent >= job.cls.key_memory - slack:
                     return False
-                if job.cls.group is Group.ZONE and line.zone != server.line.zone:
+                if job.cls.group is Group.ZONE and line.zone != to.zone:
                     return False
-                if job.cls.group is Group.CELL and line.cell != server.line.cell:
+                if job.cls.group is Group.CELL and line.cell != to.cell:
                     return False
         return True
 
@@ -722,7 +776,7 @@
         return self._now - max(oldest, server.answered_at) > SILENCE * (max(self._usual) or SECOND / 10)
 
     def _aside_span(self) -> int:
-        calls = ASIDE_CALLS * (1.0 if self._pooled is None else len(self._ready))
+        calls = ASIDE_CALLS * (1.0 if self._pooled is None else self._sharers())
         return int(min(MEAN_SPAN, calls * (max(self._usual) or SECOND / 10)))
 
     def _cold_room(self, server: _Server) -> bool:
@@ -732,8 +786,10 @@
         """
         safety = self._s.safety
         started = server.line.started_at
-        if not self._cold(server):
+        if not self._is_cold(server.line):
             return True
+        if server.guest:
+            return False
         age = max(0, self._now - started) / max(1, safety.cold_span)
         grown = safety.cold_from + (1 - safety.cold_from) * age
         pace = COLD_MARGIN * safety.fall_multiple * grown * self._warm_rate(server)
@@ -743,14 +799,25 @@
 
     def _warm_rate(self, server: _Server) -> float:
         """Answers a second to this gateway from a warm server of its kind, or of any where there is none."""
-        if self._now - self._warm_at > STALE:  # not for each cold server of each choice: that is quadratic
-            kinds, self._warm_at = [s.line.kind for s in self._ready if not self._cold(s)], self._now
-            self._warm_of = {kind: kinds.count(kind) for kind in self._kinds}
+        self._count_warm()
         warm, rate = self._warm_of.get(server.line.kind, 0), server.kind.rate_at(self._now)
         if not warm:
             warm, rate = sum(self._warm_of.values()), sum(k.rate_at(self._now) for k in self._kinds.values())
         return rate / max(1, warm)
 
+    def _count_warm(self) -> None:
+        """Now and then, not for each cold server of each choice: that is quadratic. Guests leave here."""
+        if self._now - self._warm_at <= STALE:
+            return
+        own = [s for s in self._ready if not s.guest]
+        good = sum(not self._is_cold(s.line) and not self._suspect(s) for s in own)
+        if len(own) < len(self._ready) and good > FILL_BELOW * self._roster.expected():
+            for guest in [s for s in self._ready if s.guest and not s.out]:
+                del self._servers[guest.line.server]
+            self._ready = [s for s in self._ready if not s.guest or s.out]
+        kinds, self._warm_at = [s.line.kind for s in self._ready if not self._is_cold(s.line)], self._now
+        self._warm_of = {kind: kinds.count(kind) for kind in self._kinds}
+
     def _silent(self, server: _Server, since: int) -> bool:
         """No answer of any kind since then, though it owed some.
 
@@ -760,9 +827,8 @@
         owed = self._warm_rate(server) * (self._now - since) / SECOND
         return server.answered_at <= since < self._now and owed >= SILENT_ANSWERS
 
-    def _cold(self, server: _Server) -> bool:
-        started = server.line.started_at
-        return started > 0 and self._now - started < self._s.safety.cold_span
+    def _is_cold(self, line: Member) -> bool:
+        return line.started_at > 0 and self._now - line.started_at < self._s.safety.cold_span
 
     # --- send -------------------------------------------------------------------------------------------
 
@@ -858,16 +924,16 @@
         used = self._credit < self._longest / 2 if self._pooled else len(server.out) + 1 >= limit.most / 2
         late = event.result is Result.FULL
         if event.result in (Result.TIMEOUT, Result.CANCELLED):
-            old = self._now - int(GHOST_AIMS * self._longest)
-            server.ghosts = [ghost for ghost in server.ghosts if ghost > old] + [sent]
+            old = self._now - int(ABANDON_AIMS * self._longest)
+            server.abandoned = [at for at in server.abandoned if at > old] + [sent]
             late = True
         elif event.result is Result.OK:
-            server.ghosts = [ghost for ghost in server.ghosts if ghost > sent]
+            server.abandoned = [at for at in server.abandoned if at > sent]
             late = job is not None and event.elapsed > LATE_PART * job.cls.aim
             if not late and used:
-                limit.most += LIMIT_RAISE / self._s.fleet_size / max(1.0, limit.most)
+                limit.most += LIMIT_RAISE / self._sharers() / max(1.0, limit.most)
         if late and sent >= limit.cut_at and (used or self._pooled is None):
-            limit.most = max(1.0 / self._s.fleet_size, limit.most * LIMIT_CUT)
+            limit.most = max(1.0 / self._sharers(), limit.most * LIMIT_CUT)
             limit.cut_at = self._now
 
     def _learn(self, server: _Server, event: Outcome, job: _Job | None) -> None:
@@ -906,6 +972,9 @@
         if event.token == WATCH_TOKEN:
             self._out.append(Watch(True))
             return
+        if event.token == SHARE_TOKEN:
+            self._look_on()
+            return
         request, attempt = self._tokens.pop(event.token, (-1, None))
         job = self._jobs.get(request)
         if job is None:
@@ -973,36 +1042,58 @@
             delay = self._s.safety.ask_within // WATCH_AGAIN
             self._out.append(SetTimer(self._random.randint(delay, 2 * delay), WATCH_TOKEN))
             return
-        if event.kind is ListKind.CACHED and self._s.ask_for_list:
+        if event.kind is ListKind.CACHED and event.last and self._s.ask_for_list:
             self._out.append(Watch(True))
-        named = {line.server: None for line in event.members}
-        if named and not self._servers and self._s.fleet_size > max(LIMIT_START, len(named)):
-            # One gateway's part of a server's limit is a fraction of an attempt, and little is seen of each.
-            self._pooled, self._calling = _Limit(LIMIT_START / self._s.fleet_size, self._now), 0.5
-        if event.kind is not ListKind.CHANGES:
-            for name in [n for n in self._servers if n not in named]:
-                del self._servers[name]
-        for line in event.members:
-            if line.state is State.GONE:
-                self._servers.pop(line.server, None)
-            elif line.server in self._servers:
-                server = self._servers[line.server]
-                if line.started_at != server.line.started_at:
-                    server.aside, server.errors, server.pace, server.seen = False, 0.0, 1.0, 0
-                    server.ghosts = []
-                    server.cold_left, server.cold_at = self._random.random(), self._now
-                server.line = line
-            else:
-                limit = self._pooled or _Limit(LIMIT_START / self._s.fleet_size, self._now)
-                kind = self._kinds.setdefault(line.kind, _Kind(self._now))
-                server = self._servers[line.server] = _Server(line, self._now, limit, kind)
-                # Chance, not nothing: of hundreds of gateways, each with a small share, some send at once.
-                server.cold_left = self._random.random()
+        changed = self._roster.take(event)
+        if (event.last or event.kind is ListKind.CHANGES) and self._roster.reshare():
+            if self._pooled is None and not self._servers and self._roster.share > SHARERS_FEW:
+                # Its part of a server's limit is a fraction of an attempt, and it sees little of each.
+                self._pooled, self._calling = _Limit(LIMIT_START / self._roster.share, self._now), 0.5
+            running, self._looking = self._looking, self._roster.backwards()
+            if running is None:
+                self._look_on()
+        for line in changed:
+            self._update(line)
+        self._refresh()
+
+    def _look_on(self) -> None:
+        """The next part of the list, after its servers are shared by more or fewer gateways than before."""
+        part = list(islice(self._looking or (), SHARE_PART))
+        for line in part:
+            self._update(line)
+        if len(part) == SHARE_PART:
+            self._out.append(SetTimer(self._s.tick, SHARE_TOKEN))
+        else:
+            self._looking = None
+        self._refresh()
+
+    def _update(self, line: Member) -> None:
+        """An entry as it is now: in the subset or not, perhaps gone or started again."""
+        server = self._servers.get(line.server)
+        mine = line.state is not State.GONE and self._roster.mine(line)
+        if server is not None and mine:
+            server.guest = False
+        if line.state is State.GONE or not (mine or (server is not None and server.guest)):
+            self._servers.pop(line.server, None)
+        elif server is None:
+            self._add_server(line)
+        else:
+            if line.started_at != server.line.started_at:
+                server.aside, server.errors, server.pace, server.seen = False, 0.0, 1.0, 0
+                server.abandoned = []
+                server.cold_left, server.cold_at = self._random.random(), self._now
+            server.line = line
+
+    def _add_server(self, line: Member) -> _Server:
+        limit = self._pooled or _Limit(LIMIT_START / self._sharers(), self._now)
+        kind = self._kinds.setdefault(line.kind, _Kind(self._now))
+        server = self._servers[line.server] = _Server(line, self._now, limit, kind)
+        # Chance, not nothing: of hundreds of gateways, each with a small share, some send at once.
+        server.cold_left = self._random.random()
+        return server
+
+    def _refresh(self) -> None:
+        """After a change of the servers that this gateway keeps to."""
         self._accrue()
         self._ready = [s for s in self._servers.values() if s.line.state is State.READY]
-        # In large fleets each gateway keeps to a few servers, by its number, and so meets them often enough.
-        self._near, self._warm_at = self._ready, self._now - NAME_LIFE
-        if self._pooled is not None and len(self._ready) > SAMPLE:
-            order = sorted(self._ready, key=lambda s: s.line.server)
-            first = self._s.index * SAMPLE % len(order)
-            self._near = (order + order)[first : first + SAMPLE]
+        self._warm_at = self._now - NAME_LIFE
