Let a process test fail with a message where the program does not start

Cause: where .venv is not built the started process ends at once, and discovery.accept() waited for ever; an assertion that failed left the test waiting for the end of a process that goes on. Now listeners, their connections and connects have 30 s, an accept looks whether the process still runs, and a test that ends kills what it started.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,10 +3,13 @@
 import contextlib
 import json
 import os
+import select
 import signal
 import socket
 import subprocess
+import time
 import tomllib
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -26,6 +29,7 @@
 
 
 GATEWAY = "127.91.0.1"  # an address where nothing else takes ports
+PATIENCE = 30.0  # seconds after which a process that does nothing fails the test
 
 
 def free_port() -> int:
@@ -43,36 +47,60 @@
     }  # fmt: skip
 
 
-def start(tmp_path: Path, text: str | None) -> subprocess.Popen[bytes]:
+def listener() -> socket.socket:
+    """A peer of the process. One that never calls, as it could not start, fails the test and no more."""
+    peer = socket.create_server(("127.0.0.1", 0))
+    peer.settimeout(PATIENCE)
+    return peer
+
+
+def accept(peer: socket.socket, process: subprocess.Popen[bytes]) -> socket.socket:
+    """The process's next connection; one that has ended makes none and says why instead."""
+    until = time.monotonic() + PATIENCE
+    while not select.select([peer], [], [], 0.05)[0]:
+        assert process.poll() is None, process.communicate()
+        assert time.monotonic() < until, "it does not connect"
+    connection, _ = peer.accept()
+    connection.settimeout(PATIENCE)
+    return connection
+
+
+@contextlib.contextmanager
+def start(tmp_path: Path, text: str | None) -> Iterator[subprocess.Popen[bytes]]:
+    """The process; a test that fails does not wait for its end."""
     (tmp_path / "config.json").write_text(text or "")
     env = {**os.environ, "EDGE_CONFIG": str(tmp_path / ("config.json" if text is not None else "none.json"))}
-    return subprocess.Popen(
+    with subprocess.Popen(
         ["/bin/sh", "-c", RUN], cwd=ROOT, env=env, stdout=subprocess.PIPE, stderr=subprocess.PIPE
-    )
+    ) as process:
+        try:
+            yield process
+        finally:
+            process.kill()
 
 
 def connect(port: int, process: subprocess.Popen[bytes]) -> socket.socket:
+    until = time.monotonic() + PATIENCE
     while True:
         assert process.poll() is None, process.communicate()
         try:
-            return socket.create_connection((GATEWAY, port), timeout=30)
+            return socket.create_connection((GATEWAY, port), timeout=PATIENCE)
         except ConnectionRefusedError:
-            continue
+            assert time.monotonic() < until, "it does not listen"
 
 
 def test_it_starts_answers_a_ping_and_exits_0_after_sigterm(tmp_path: Path) -> None:
-    any_port = ("127.0.0.1", 0)
-    with socket.create_server(any_port) as discovery, socket.create_server(any_port) as counter:
+    with listener() as discovery, listener() as counter:
         ports = [s.getsockname()[1] for s in (discovery, counter)] + [free_port()]
         with start(tmp_path, json.dumps(config(*ports))) as process:
-            watch, _ = discovery.accept()
+            watch = accept(discovery, process)
             assert watch.recv(4096).startswith(b"GET /v1/servers?watch=1&from=41 HTTP/1.1\r\n")
             with watch, connect(ports[2], process) as client:
                 client.sendall(b"*1\r\n$4\r\nPING\r\n")
                 assert client.recv(64) == b"+PONG\r\n"
                 process.send_signal(signal.SIGTERM)
                 assert client.recv(64) == b""  # closed as it is idle
-            assert process.wait(timeout=30) == 0
+            assert process.wait(timeout=PATIENCE) == 0
             assert process.communicate() == (b"", b"")
 
 
@@ -92,49 +120,47 @@
 
 def test_after_sigterm_a_request_that_nobody_answers_is_failed_before_its_time(tmp_path: Path) -> None:
     # The process may be killed some seconds after SIGTERM, however long clients would wait.
-    any_port = ("127.0.0.1", 0)
     settings = NAMED | {"classes": [NAMED["classes"][0] | {"giveUpUs": 90_000_000, "goalTimeUs": 90_000_000}]}
     with contextlib.ExitStack() as stack:
-        discovery, counter, server = (stack.enter_context(socket.create_server(any_port)) for _ in range(3))
+        discovery, counter, server = (stack.enter_context(listener()) for _ in range(3))
         ports = [discovery.getsockname()[1], counter.getsockname()[1], free_port()]
         text = config(*ports) | {"settings": settings}
         text["known"]["instances"][0]["hostPort"] = f"127.0.0.1:{server.getsockname()[1]}"
         process = stack.enter_context(start(tmp_path, json.dumps(text)))
         client = stack.enter_context(connect(ports[2], process))
         client.sendall(call(1, b"c=lookup,t=basic,d=90000,units=1,spread=1,first=0"))
-        attempt = stack.enter_context(server.accept()[0])
+        attempt = stack.enter_context(accept(server, process))
         assert attempt.recv(4096) != b""  # it may run
         process.send_signal(signal.SIGTERM)
         assert client.recv(64) == b"-ERR failed\r\n"
         assert client.recv(64) == b""
         client.close()
-        assert process.wait(timeout=30) == 0
+        assert process.wait(timeout=PATIENCE) == 0
 
 
 @pytest.mark.parametrize("known", [None, {}, [], {"generation": 3, "instances": [{}]}])
 def test_it_starts_without_a_list_that_can_be_read(tmp_path: Path, known: Any) -> None:
-    any_port = ("127.0.0.1", 0)
-    with socket.create_server(any_port) as discovery:
+    with listener() as discovery:
         ports = [discovery.getsockname()[1], 1, free_port()]
         with start(tmp_path, json.dumps(config(*ports) | {"known": known})) as process:
-            watch, _ = discovery.accept()
+            watch = accept(discovery, process)
             assert watch.recv(4096).startswith(b"GET /v1/servers?watch=1&from=0 HTTP/1.1\r\n")
             with watch, connect(ports[2], process) as client:
                 client.sendall(b"*1\r\n$4\r\nPING\r\n")
                 assert client.recv(64) == b"+PONG\r\n"
                 process.send_signal(signal.SIGTERM)
-            assert process.wait(timeout=30) == 0
+            assert process.wait(timeout=PATIENCE) == 0
             assert b"can't be read" in process.communicate()[1]
 
 
 def test_sighup_moves_the_watch_and_the_counter_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     # The default of SIGHUP ends the process. It comes under load, perhaps twice, and perhaps during a stop.
     with contextlib.ExitStack() as stack:
-        peers = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(4)]
+        peers = [stack.enter_context(listener()) for _ in range(4)]
         (discovery, _, next_discovery, next_counter), listen = peers, free_port()
         ports = [peer.getsockname()[1] for peer in peers]
         process = stack.enter_context(start(tmp_path, json.dumps(config(ports[0], ports[1], listen))))
-        watch = stack.enter_context(discovery.accept()[0])
+        watch = stack.enter_context(accept(discovery, process))
         client = stack.enter_context(connect(listen, process))
         client.sendall(b"*1\r\n$4\r\nPING\r\n")
         assert client.recv(64) == b"+PONG\r\n"
@@ -147,13 +173,13 @@
         (tmp_path / "config.json").write_text(json.dumps(config(ports[2], ports[3], listen)))
         process.send_signal(signal.SIGHUP)
         process.send_signal(signal.SIGHUP)
-        new_watch = stack.enter_context(next_discovery.accept()[0])
+        new_watch = stack.enter_context(accept(next_discovery, process))
         assert new_watch.recv(4096).startswith(b"GET /v1/servers?watch=1&from=41 ")
         assert watch.recv(4096).startswith(b"GET ")
         assert watch.recv(4096) == b""  # the old one ends when the new one is up
         for _ in range(2):
-            stack.enter_context(next_counter.accept()[0])
+            stack.enter_context(accept(next_counter, process))
         process.send_signal(signal.SIGTERM)
         process.send_signal(signal.SIGHUP)
-        assert process.wait(timeout=30) == 0
+        assert process.wait(timeout=PATIENCE) == 0
         assert process.communicate() == (b"", b"")
