Begin no attempt for a client that has closed, however busy the loop is

Cause: a client's close was known only once the loop had read it. The module's actions of the same turn, a whole pipeline's for one, went out before that; connections that are not read for now were looked at every 0.1 s, all that an attempt may come after the close; and answers that made room in a pipeline took further commands of a client that had gone. Shown on loopback sockets with closes and resets in the handling of an event. Ruled out, held before: closes while requests wait in the queue with a turn between, half-written commands, unread answers, closes in a stop.

--- a/lynxreel/clients.py
+++ b/lynxreel/clients.py
@@ -26,7 +26,7 @@
 ROUND = 0.01  # seconds between a stop's looks at the connections that are left
 LINGER = 0.3  # seconds that a stop leaves the other end to close, which then has read all answers
 LEFT_OVER = 256 * 1024  # bytes read after the last answer: unread ones would reset what was answered before
-LOOK = 0.1  # seconds between looks for clients that left connections which are not read
+LOOK = 0.03  # seconds between looks for clients that left connections which are not read; 0.1 are allowed
 MOST_OPEN = 64  # commands of one connection that wait for their answers; more are not read yet
 TURN = 64  # commands taken from one connection before others have their turn
 PAUSE = 0.05  # seconds without reading after a command that is no call: repeats must not take the others' CPU
@@ -112,6 +112,10 @@
         if not (0 < self.units <= terms.most_units and self.patience > 0 and known):
             raise BadCall("number out of range")
 
+    def has_left(self) -> bool:
+        """Whether its client has closed; the engine is told of all that goes with it."""
+        return self.connection.has_left()
+
     def command(self, wait: int) -> bytes:
         """The command for a server, which is told how long the gateway waits."""
         patience = b"d=%d" % max(1, wait // 1_000)
@@ -253,7 +257,7 @@
     def _release(self, why: int) -> None:
         """One reason less not to read; what has come meanwhile is first."""
         self._holds &= ~why
-        if self._ending or self._holds or self.transport.is_closing():
+        if self._ending or self._holds or self.transport.is_closing() or self.has_left():
             return
         self._clients.unwatch(self)
         self._read()
@@ -285,6 +289,16 @@
         self._clients.unwatch(self)
         self.transport.abort()
 
+    def has_left(self) -> bool:
+        """Whether the client has closed, also where that still waits to be read. It leaves then."""
+        if not self.transport.is_closing():
+            hangup = select.poll()
+            hangup.register(self.descriptor, select.POLLRDHUP)
+            if not hangup.poll(0):
+                return False
+        self.leave()
+        return True
+
     def leave(self) -> None:
         """The client has gone; nothing is owed to it any more."""
         self._ending = True
--- a/lynxreel/gateway.py
+++ b/lynxreel/gateway.py
@@ -31,6 +31,9 @@
     first: int
     retry: bool
 
+    def has_left(self) -> bool:
+        """Whether its client has closed; the engine is told of all that goes with it."""
+
     def command(self, wait: int) -> bytes:
         """The command for a server, which is told how many microseconds the gateway waits."""
 
@@ -235,7 +238,8 @@
         held = self._open[action.request]
         number = held.attempts
         held.attempts += 1
-        if held.over or number >= self._settings.limits.max_attempts:
+        # Between the close and its reading lie a turn of the loop, and more where the client is not read.
+        if held.over or held.call.has_left() or number >= self._settings.limits.max_attempts:
             moot = api.Outcome(action.request, number, action.server, api.Result.NOT_SENT, 0, held.over)
             self.post(moot)
             return
