--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -66,12 +66,12 @@
 
 
 @contextlib.contextmanager
-def start(tmp_path: Path, text: str | None) -> Iterator[subprocess.Popen[bytes]]:
+def start(tmp_path: Path, text: str | None, command: str = RUN) -> Iterator[subprocess.Popen[bytes]]:
     """The process; a test that fails does not wait for its end."""
     (tmp_path / "config.json").write_text(text or "")
     env = {**os.environ, "EDGE_CONFIG": str(tmp_path / ("config.json" if text is not None else "none.json"))}
     with subprocess.Popen(
-        ["/bin/sh", "-c", RUN], cwd=ROOT, env=env, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+        ["/bin/sh", "-c", command], cwd=ROOT, env=env, stdout=subprocess.PIPE, stderr=subprocess.PIPE
     ) as process:
         try:
             yield process
--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -1,9 +1,15 @@
-"""The standing terms on real connections: what a gateway still sends once a client has gone."""
+"""The standing terms on real connections: clients that have gone, crowds of idle ones, hard starts."""
 
 import asyncio
+import contextlib
+import itertools
+import json
+import select
+import signal
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
 from typing import Any, cast
 
 import pytest
@@ -14,11 +20,15 @@
 from lynxreel.servers import Servers
 from mothgap import interface as api
 from tests.helpers import SETTINGS
-from tests.net import LOCAL, TERMS, Heard, Peer, call, run
+from tests.net import LOCAL, TERMS, Heard, Peer, call, resp, run
 from tests.test_engine import Module
+from tests.test_process import GATEWAY, PATIENCE, RUN, accept, config, connect, free_port, listener, start
 from tests.test_servers import LONG, OK, at
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close resets
+PING, PONG = resp(b"PING"), b"+PONG\r\n"
+SOCKETS = 128
+CROWD = 400  # clients that idle: more than there are descriptors
 ALLOWED = 0.1  # seconds after a close in which an attempt may still begin
 Script = Callable[[api.Event], Iterator[api.Action]]
 
@@ -209,3 +219,89 @@
         assert loop.spans and max(loop.spans) <= ALLOWED / 2  # the rest is for a busy loop
 
     run(scenario)
+
+
+def port_of(peer: socket.socket) -> int:
+    port: int = peer.getsockname()[1]
+    return port
+
+
+def tell_list(watch: socket.socket, server: int) -> None:
+    """Answer a watch with a whole list of one server."""
+    entry = {"instanceId": "s-2", "hostPort": f"{LOCAL}:{server}", "lifecycle": "SERVING"}
+    text = json.dumps({"generation": 42, "reset": True, "instances": [entry]}).encode() + b"\n"
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    watch.sendall(head + b"%x\r\n%b\r\n" % (len(text), text))
+
+
+@pytest.mark.parametrize("moved", [True, False])
+def test_a_crowd_of_idle_clients_keeps_neither_discovery_nor_the_counter_out(
+    tmp_path: Path, moved: bool
+) -> None:
+    # They come while the watch and the counter are down, faster than the process can shut any.
+    with contextlib.ExitStack() as stack:
+        discovery, elsewhere, counter, server = (stack.enter_context(listener()) for _ in range(4))
+        listen = free_port()
+        text = config(port_of(discovery), port_of(counter), listen)
+        text["limits"]["sockets"] = SOCKETS
+        process = stack.enter_context(start(tmp_path, json.dumps(text), f"ulimit -n {SOCKETS}; {RUN}"))
+        watch, first = accept(discovery, process), connect(listen, process)
+        first.sendall(PING)
+        assert first.recv(64) == PONG
+        lines = [accept(counter, process) for _ in range(2)]
+        process.send_signal(signal.SIGSTOP)
+        for end in [watch, *lines]:
+            end.close()
+        if moved:
+            (tmp_path / "config.json").write_text(
+                json.dumps(text | {"discovery": f"{LOCAL}:{port_of(elsewhere)}"})
+            )
+            process.send_signal(signal.SIGHUP)
+        for _ in range(CROWD):
+            stack.enter_context(socket.create_connection((GATEWAY, listen))).sendall(PING)
+        process.send_signal(signal.SIGCONT)
+
+        for _ in range(2):
+            stack.enter_context(accept(counter, process))
+        watch = stack.enter_context(accept(elsewhere if moved else discovery, process))
+        assert watch.recv(4096).startswith(b"GET /v1/servers?watch=1&from=41 ")
+        tell_list(watch, port_of(server))
+        client = stack.enter_context(connect(listen, process))
+        numbers = itertools.count(1)
+        while not select.select([server], [], [], 0)[0]:  # until the list is known
+            client.sendall(call(next(numbers), b"c=lookup,t=basic,d=900,units=1,spread=1,first=0"))
+            assert client.recv(64)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=PATIENCE) == 0
+
+
+@pytest.mark.parametrize(
+    ("agent", "counter"),
+    [("none", "full"), ("silent", "silent"), ("full", "none"), ("full", "full"), ("odd", "silent")],
+)
+def test_a_start_waits_for_neither_discovery_nor_the_counter(
+    tmp_path: Path, agent: str, counter: str
+) -> None:
+    with contextlib.ExitStack() as stack:
+        peers = {how: stack.enter_context(listener()) for how in ("silent", "full", "odd")}
+        fill(peers["full"], stack)
+        ports = {how: port_of(peer) for how, peer in peers.items()} | {"none": 1}
+        listen = free_port()
+        text = json.dumps(config(ports[agent], ports[counter], listen), indent="\t")
+        process = stack.enter_context(start(tmp_path, "\r\n " + text))
+        if agent == "odd":
+            accept(peers["odd"], process).sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]}")
+        client = stack.enter_context(connect(listen, process))
+        client.sendall(PING)
+        assert client.recv(64) == PONG
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=PATIENCE) == 0
+
+
+def fill(peer: socket.socket, stack: contextlib.ExitStack) -> None:
+    """Let no further connection to it come up: what a lost or hanging machine looks like."""
+    peer.listen(0)
+    for _ in range(4):
+        end = stack.enter_context(socket.socket())
+        end.setblocking(False)
+        end.connect_ex(peer.getsockname())
