--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import Any, cast
@@ -267,10 +268,11 @@
         assert watch.recv(4096).startswith(b"GET /v1/servers?watch=1&from=41 ")
         tell_list(watch, port_of(server))
         client = stack.enter_context(connect(listen, process))
-        numbers = itertools.count(1)
+        numbers, last = itertools.count(1), time.monotonic() + PATIENCE
         while not select.select([server], [], [], 0)[0]:  # until the list is known
             client.sendall(call(next(numbers), b"c=lookup,t=basic,d=900,units=1,spread=1,first=0"))
             assert client.recv(64)
+            assert time.monotonic() < last, "the new list is not sent to"
         process.send_signal(signal.SIGTERM)
         assert process.wait(timeout=PATIENCE) == 0
 
