Look at each entry of a first whole list once, not twice

Cause: the entries of the message that completed a list were judged by themselves and again by the look at all entries, two hash draws each. Now the look alone finds those that are not held.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -1045,7 +1045,8 @@
         if event.kind is ListKind.CACHED and event.last and self._s.ask_for_list:
             self._out.append(Watch(True))
         changed = self._roster.take(event)
-        if (event.last or event.kind is ListKind.CHANGES) and self._roster.reshare():
+        anew = (event.last or event.kind is ListKind.CHANGES) and self._roster.reshare()
+        if anew:
             if self._pooled is None and not self._servers and self._roster.share > SHARERS_FEW:
                 # Its part of a server's limit is a fraction of an attempt, and it sees little of each.
                 self._pooled, self._calling = _Limit(LIMIT_START / self._roster.share, self._now), 0.5
@@ -1053,7 +1054,8 @@
             if running is None:
                 self._look_on()
         for line in changed:
-            self._update(line)
+            if not anew or line.server in self._servers:  # the look at all entries finds the others
+                self._update(line)
         self._refresh()
 
     def _look_on(self) -> None:
