Take lists of servers in as they come, in parts of at most 250 entries

Cause: a list was buffered whole, refused over 4 MB and parsed in one go, which for 97,000 entries would hold the loop and 100 MB.

Change: a cutter takes runs of whole entries off the text while it comes; each part has a turn of the loop to itself, and the watch reads nothing more meanwhile. A list in which an entry is odd is read entry by entry there, as before. A part is told at once: where the rest is spoilt or never comes, the parts stay true, but there is no last one, so nobody is gone and the version is not taken. A version behind the entries makes them wait, as text, within a part of the memory limit. The configuration's list goes the same way, in a second reading of the file, so that the file is never held whole; after SIGHUP too, where each piece has a turn of the loop.

The decision module takes the parts of a whole list for whole lists so far; lists of up to 250 entries come in one part, as before.

--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import gc
-import json
 import os
 import random
 import signal
 import sys
+from collections.abc import Iterator
 from contextlib import suppress
 from typing import Any
 
@@ -16,14 +16,16 @@
 
 from lynxreel.clients import Clients, Terms
 from lynxreel.counter import Counter
-from lynxreel.discovery import UNREADABLE, Address, Discovery, read_address, read_list
+from lynxreel.cutter import Cutter
+from lynxreel.discovery import UNREADABLE, Discovery, Line, Lists, News, read_address
 from lynxreel.gateway import Engine
 from lynxreel.log import log
 from lynxreel.servers import Servers
-from mothgap.interface import ListKind, Member, Members
+from mothgap.interface import ListKind, Members
 from mothgap.settings import Names, read_names, read_settings
 
 FIRST_NEWS = 0.3  # seconds that a start waits for discovery before it goes by the list it had last
+PIECE = 64 * 1024  # bytes of the configuration read at once
 ACCEPT = 0.5  # seconds that new connections are taken after SIGTERM
 KILL_LEAST = 3.0  # seconds: the longest deadline, counted so where it is longer; SIGKILL comes 0.7 s later
 KILL_SPARE = 0.5  # seconds after it when all is answered: SIGKILL may come soon
@@ -31,17 +33,32 @@
 SERVER_PART = 0.25  # of the other descriptors; the rest is for clients
 
 
-def read_config() -> dict[str, Any]:
-    """The configuration as it stands now."""
+def read_file() -> Iterator[bytes]:
+    """The configuration as it stands now, in pieces: most of it is the list of servers."""
     with open(os.environ["EDGE_CONFIG"], "rb") as file:
-        config: dict[str, Any] = json.load(file)
-    return config
-
-
-def move(discovery: Discovery, counter: Counter | None) -> None:
-    """SIGHUP: go by the addresses in the new file. One that can't be read changes nothing."""
+        while data := file.read(PIECE):
+            yield data
+
+
+async def read_config() -> dict[str, Any]:
+    """The configuration but its list of servers. Each piece has a turn of the loop to itself."""
+    cutter = Cutter(("known", "instances"))
+    objects = []
+    for data in read_file():
+        cutter.feed(data)
+        while (run := cutter.next()) is not None:
+            if run.last:
+                objects.append(run.frame)
+        await asyncio.sleep(0)
+    if len(objects) != 1 or not cutter.empty():
+        raise ValueError("the configuration is not one whole JSON object")
+    return objects[0]
+
+
+async def move(discovery: Discovery, counter: Counter | None) -> None:
+    """Go by the addresses in the new file. One that can't be read changes nothing."""
     try:
-        config = read_config()
+        config = await read_config()
         discovery_at = read_address(config["discovery"])
         counter_at = None if counter is None else read_address(config["counter"])
     except (OSError, RecursionError, *UNREADABLE) as wrong:
@@ -52,26 +69,43 @@
         counter.move(counter_at)
 
 
-def read_known(config: dict[str, Any], names: Names) -> tuple[Members, list[tuple[Member, Address]]]:
-    """The list as this gateway last had it; where that can't be read, discovery tells all of it."""
+async def follow(hangup: asyncio.Event, discovery: Discovery, counter: Counter | None) -> None:
+    """Each SIGHUP, one after the other."""
+    while True:
+        await hangup.wait()
+        hangup.clear()
+        await move(discovery, counter)
+
+
+async def read_known(names: Names, memory: int, news: News) -> int:
+    """Tell the list as this gateway last had it; its version, or 0 where discovery has to tell all of it."""
+    lists = Lists(names, memory, ListKind.CACHED, ("known",))
+    version = 0
     try:
-        return read_list(config["known"], names, ListKind.CACHED)
+        for data in read_file():
+            lists.feed(data)
+            while (part := lists.next()) is not None:
+                news(part.members, part.lines)
+                if part.last:
+                    version = part.members.version
+                await asyncio.sleep(0)  # the module takes it in
     except UNREADABLE as wrong:
         log(f"the list of servers in the configuration can't be read: {wrong!r}")
-        return Members(ListKind.CACHED, 0, ()), []
+    return version
 
 
-async def serve(config: dict[str, Any]) -> None:
+async def serve() -> None:
     """Serve until SIGTERM."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
+    stop, hangup = asyncio.Event(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    config = await read_config()
     settings, names = read_settings(config["settings"]), read_names(config["settings"])
     sockets = int(config["limits"]["sockets"]) - OWN_SOCKETS
+    memory = int(config["limits"]["memory_mb"] * 1e6)
     most = int(sockets * SERVER_PART)
     listen, discovery_at = read_address(config["listen"]), read_address(config["discovery"])
-    known, addresses = read_known(config, names)
 
     seed = int(config["seed"], 16)
     engine = Engine(settings, seed, loop)
@@ -82,13 +116,14 @@
         engine.counter = counter
     clients = Clients(engine, Terms.of(settings, names), sockets - most, loop)
 
-    def news(members: Members, lines: list[tuple[Member, Address]]) -> None:
-        servers.update(lines, members.kind is not ListKind.CHANGES)
+    def news(members: Members, lines: list[Line]) -> None:
+        servers.update(lines, members.kind is not ListKind.CHANGES, members.first, members.last)
         engine.news(members)
 
-    news(known, addresses)
-    discovery = Discovery(discovery_at, known.version, names, news, loop, random.Random(seed))
-    loop.add_signal_handler(signal.SIGHUP, move, discovery, counter)
+    version = await read_known(names, memory, news)
+    discovery = Discovery(discovery_at, version, names, news, loop, random.Random(seed), memory)
+    loop.add_signal_handler(signal.SIGHUP, hangup.set)
+    moves = loop.create_task(follow(hangup, discovery, counter))
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     with suppress(TimeoutError):
         async with asyncio.timeout(FIRST_NEWS):
@@ -100,6 +135,7 @@
     longest = max(cls.deadline for cls in settings.classes) / 1e6
     await clients.stop(ACCEPT, min(longest, KILL_LEAST) + KILL_SPARE)
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # from here on there is nothing to move
+    moves.cancel()
     discovery.close()
     servers.close()
     if counter is not None:
@@ -111,7 +147,7 @@
     # One that comes before there is anything to move waits: its default would end the process.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
-        uvloop.run(serve(read_config()))
+        uvloop.run(serve())
     except KeyError as missing:
         log(f"missing in the environment or the configuration: {missing.args[0]}")
     except (OSError, ValueError, TypeError, AttributeError) as wrong:
--- a/lynxreel/discovery.py
+++ b/lynxreel/discovery.py
@@ -6,13 +6,15 @@
 import json
 import math
 import random
-import re
+from collections import deque
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 
 import h11
+import msgspec
 
 from lynxreel.backoff import Backoff
+from lynxreel.cutter import Cutter, Run
 from lynxreel.log import log
 from mothgap.interface import ListKind, Member, Members, State
 from mothgap.settings import Names
@@ -23,13 +25,17 @@
 RETRY = 0.1  # seconds, at most, before a watch that was good is opened again: its last news may lack a drain
 MOST_RETRY = 0.2  # seconds; what the agent has counts as told, and a drain's grace is short; asking is free
 MOST_TRIES = 6  # watches opened that have not spoken yet; of more the oldest is closed
-MOST_OBJECT = 4 * 1024 * 1024  # bytes of one object; more is no list
+PART = 250  # entries handled in one turn of the loop, at most: some 2 ms
+MEMORY = 192 << 20  # bytes that a gateway may use where nothing else is said
+TEXT_PART = 0.25  # of the memory: most text of one list, as its servers' tables take about as much as it
+HELD_PART = 0.17  # of the memory: most text of one list that has to be held until its end
+SERVER_MEMORY = 1024  # bytes of the memory for each entry of the longest list
 MOST_VERSION = 1 << 63  # a number past that is no version, and would make all later news look old
-BLANK_LINE = re.compile(rb"\n[ \t\r]*\n")
 Address = tuple[str, int]
 NOWHERE: Address = ("", 0)
 UNREADABLE = (ArithmeticError, AttributeError, KeyError, TypeError, ValueError)  # what odd JSON leads to
-News = Callable[[Members, list[tuple[Member, Address]]], None]
+Line = tuple[Member, Address]
+News = Callable[[Members, list[Line]], None]
 
 
 def read_address(text: str) -> Address:
@@ -40,98 +46,194 @@
     return host, int(port)
 
 
-def _read_entry(item: Any, names: Names) -> tuple[Member, Address]:
+class Entry(msgspec.Struct, rename="camel", gc=False):
+    """A server as discovery writes it."""
+
+    instance_id: str
+    lifecycle: str
+    host_port: str = ""
+    zone: str | None = None
+    machine_type: str | None = None
+    cell: int = 0
+    weight: float = 1.0
+    started_at_ms: int = 0
+
+
+ENTRIES = msgspec.json.Decoder(list[Entry])
+
+
+def _read_run(run: bytes) -> list[Any]:
+    """Entries with commas between them. Where one is odd, all are plain JSON, to be read one by one."""
+    text = b"[" + run + b"]"
+    try:
+        return ENTRIES.decode(text)
+    except msgspec.DecodeError:
+        return cast(list[Any], json.loads(text))
+
+
+def _loosen(item: Any) -> Entry:
+    """An entry of plain JSON, as far as its values can be taken for what they should be."""
+    return Entry(
+        instance_id=str(item["instanceId"]),
+        lifecycle=item["lifecycle"],
+        host_port=item.get("hostPort", ""),
+        zone=item.get("zone"),
+        machine_type=item.get("machineType"),
+        cell=int(item.get("cell", 0)),
+        weight=float(item.get("weight", 1.0)),
+        started_at_ms=int(item.get("startedAtMs", 0)),
+    )
+
+
+def _read_entry(item: Any, names: Names) -> Line:
     """An entry. One that must be sent nothing is taken by its name alone where the rest can't be read."""
-    state = STATES[item["lifecycle"]]
+    strict = isinstance(item, Entry)
+    state = STATES[item.lifecycle if strict else item["lifecycle"]]
     try:
-        return _read_whole(item, state, names)
+        return _read_whole(item if strict else _loosen(item), state, names)
     except UNREADABLE:
         if state is State.READY:
             raise
-        return Member(str(item["instanceId"]), state), NOWHERE
+        return Member(str(item.instance_id if strict else item["instanceId"]), state), NOWHERE
 
 
-def _read_whole(item: Any, state: State, names: Names) -> tuple[Member, Address]:
-    weight = float(item.get("weight", 1.0))
-    if not math.isfinite(weight):
+def _read_whole(entry: Entry, state: State, names: Names) -> Line:
+    if not math.isfinite(entry.weight):
         raise ValueError("weight")
     member = Member(
-        server=str(item["instanceId"]),
+        server=entry.instance_id,
         state=state,
-        kind=names.kinds.get(item.get("machineType"), 0),
-        zone=names.zones.get(item.get("zone"), 0),
-        cell=int(item.get("cell", 0)),
-        started_at=int(item.get("startedAtMs", 0)) * 1_000,
-        weight=weight,
+        kind=names.kinds.get(cast(str, entry.machine_type), 0),
+        zone=names.zones.get(cast(str, entry.zone), 0),
+        cell=entry.cell,
+        started_at=entry.started_at_ms * 1_000,
+        weight=entry.weight,
     )
     # One that is gone is sent nothing: wherever it was, the news must not be missed.
-    return member, NOWHERE if state is State.GONE else read_address(item["hostPort"])
+    return member, NOWHERE if state is State.GONE else read_address(entry.host_port)
 
 
-def read_list(
-    data: Any, names: Names, kind: ListKind | None = None
-) -> tuple[Members, list[tuple[Member, Address]]]:
-    """A list in discovery's form: the module's event, and each server's address.
-
-    An entry that can't be read is left out: it must not keep the others from being told, at each retry again.
-    """
-    version, items = data["generation"], data["instances"]
-    if type(version) is not int or not 0 <= version < MOST_VERSION or not isinstance(items, list):
+def _read_header(frame: Any, kind: ListKind | None) -> tuple[ListKind, int]:
+    """What a list is, and its version."""
+    version = frame["generation"]
+    if type(version) is not int or not 0 <= version < MOST_VERSION or frame["instances"] != []:
         raise ValueError("no version or no list")
     if kind is None:
-        if not isinstance(data["reset"], bool):
+        if not isinstance(frame["reset"], bool):
             raise ValueError("reset")
-        kind = ListKind.FULL if data["reset"] else ListKind.CHANGES
-    lines = []
-    for item in items:
-        try:
-            lines.append(_read_entry(item, names))
-        except UNREADABLE as wrong:
-            log(f"discovery has an entry that can't be read: {wrong!r} in {str(item)[:200]}")
-    if items and not lines and kind is not ListKind.CHANGES:
-        raise ValueError("a whole list without an entry that can be read")
-    return Members(kind, version, tuple(member for member, _ in lines)), lines
-
-
-class _Objects:
-    """Cuts the watch's text into JSON objects: one a line or indented over many, blank lines between them."""
-
-    def __init__(self) -> None:
-        self._text = b""
-        self._json = json.JSONDecoder()
-
-    def empty(self) -> bool:
-        """True between objects."""
-        return not self._text
-
-    def feed(self, data: bytes) -> list[Any]:
-        """The objects that are whole now. ValueError where the text is no object, or one was broken off."""
-        self._text += data
-        end = max(self._text.rfind(b"}\n"), self._text.rfind(b"}\r")) + 1  # an object may be whole only there
-        if self._text.endswith(b"}"):
-            end = len(self._text)
-        found = self._cut(self._text[:end].decode()) if end else []
-        self._text = self._text.lstrip()
-        if self._text and (not self._text.startswith(b"{") or BLANK_LINE.search(self._text)):
-            raise ValueError("an object without an end")
-        if len(self._text) > MOST_OBJECT:
-            raise ValueError("too much for one object")
-        return found
-
-    def _cut(self, text: str) -> list[Any]:
-        """Take whole objects off the text."""
-        found, at = [], 0
-        while rest := text[at:].lstrip():
-            at = len(text) - len(rest)
+        kind = ListKind.FULL if frame["reset"] else ListKind.CHANGES
+    return kind, version
+
+
+class Part(NamedTuple):
+    """Entries of a list that have come. Of changes each part is a message of its own for the module."""
+
+    members: Members
+    lines: list[Line]
+    last: bool  # the list ends with it
+
+
+class Lists:
+    """Reads lists in discovery's form out of their text as it comes, in parts of at most PART entries.
+
+    A part is told as soon as it can be read. Where the rest of its list turns out to be spoilt, or never
+    comes, what was told stays true; but such a list has no last part, so nobody is gone for want of being
+    named, and its version is not taken. Where the keys come in another order than the protocol page's, the
+    entries wait, as text, for the end of the list.
+    """
+
+    def __init__(
+        self, names: Names, memory: int, kind: ListKind | None = None, within: tuple[str, ...] = ()
+    ) -> None:
+        """memory: bytes that the gateway may use; kind: None where each list tells it itself.
+
+        within: the keys that lead to the list where it is part of an object.
+        """
+        self._cutter = Cutter((*within, "instances"))
+        self._names, self._kind, self._within = names, kind, within
+        self._most, self._most_held = int(memory * TEXT_PART), int(memory * HELD_PART)
+        self._most_entries = memory // SERVER_MEMORY
+        self._begin()
+
+    def _begin(self) -> None:
+        self._header: tuple[ListKind, int] | None = None
+        self._runs: deque[bytes] = deque()  # text that is still to be read
+        self._items: list[Any] = []  # read, but not told
+        self._size = 0  # bytes of this list's entries
+        self._first, self._ended = True, False
+        self._count = self._told = 0  # entries that came, and that could be read
+
+    def feed(self, data: bytes) -> None:
+        """More text."""
+        self._cutter.feed(data)
+
+    def speaks(self) -> bool:
+        """True where entries have come, and between lists."""
+        return self._size > 0 or self._cutter.empty()
+
+    def broken_off(self) -> bool:
+        """True where a blank line, which comes between lists, stands in one that is not whole."""
+        return self._cutter.blank()
+
+    def next(self) -> Part | None:
+        """The next part; None where more text has to come. Raises one of UNREADABLE for what is no list."""
+        while self._header is None or not (self._items or self._runs or self._ended):
+            run = self._cutter.next()
+            if run is None:
+                return None
+            self._take(run)
+        while self._runs and len(self._items) < PART:
+            self._items += _read_run(self._runs.popleft())
+        items, self._items = self._items[:PART], self._items[PART:]
+        return self._part(items, self._ended and not self._items and not self._runs)
+
+    def _take(self, run: Run) -> None:
+        frame: Any = run.frame
+        for key in self._within:
+            frame = frame[key]
+        if run.last or {"generation", "reset"} <= frame.keys():
+            header = _read_header(frame, self._kind)
+            if self._header not in (None, header):
+                raise ValueError("a list with two versions")
+            self._header = header
+        self._ended = run.last
+        if run.text:
+            self._runs.append(run.text)
+            self._size += len(run.text)
+            self._bound()
+
+    def _bound(self) -> None:
+        """Guards memory against lists that are too long, or have no end."""
+        if self._size > self._most or self._count > self._most_entries:
+            raise ValueError(
+                f"a list of over {self._most_entries} entries or {self._most} bytes: more than the memory "
+                "limit allows"
+            )
+        if self._header is None and self._size > self._most_held:
+            raise ValueError(
+                f"a list of over {self._most_held} bytes with its version behind its entries, so that it has "
+                "to be held: more than the memory limit allows"
+            )
+
+    def _part(self, items: list[Any], last: bool) -> Part:
+        assert self._header is not None
+        kind, version = self._header
+        lines = []
+        for item in items:
             try:
-                item, at = self._json.raw_decode(text, at)
-            except json.JSONDecodeError as wrong:
-                if wrong.pos < len(text) and not wrong.msg.startswith("Unterminated string"):
-                    raise
-                break  # more of it is to come
-            found.append(item)
-        self._text = self._text[len(text[:at].encode()) :]
-        return found
+                lines.append(_read_entry(item, self._names))
+            except UNREADABLE as wrong:
+                log(f"discovery has an entry that can't be read: {wrong!r} in {str(item)[:200]}")
+        self._count, self._told = self._count + len(items), self._told + len(lines)
+        first = self._first
+        self._first = first and not lines
+        if last:
+            if self._count and not self._told and kind is not ListKind.CHANGES:
+                raise ValueError("a whole list without an entry that can be read")
+            self._begin()
+        alone = kind is ListKind.CHANGES  # the parts of a whole list belong together
+        members = Members(kind, version, tuple(member for member, _ in lines), first or alone, last or alone)
+        return Part(members, lines, last)
 
 
 class _Watch(asyncio.Protocol):
@@ -140,7 +242,11 @@
     def __init__(self, discovery: Discovery) -> None:
         self._discovery = discovery
         self._http = h11.Connection(h11.CLIENT)
-        self._objects = _Objects()
+        self._lists = Lists(discovery.names, discovery.memory)
+        self._heard = False  # something of what it tells has come
+        self._working = False  # parts that have come wait for their turns
+        self._ended = False  # nothing more comes
+        self._wrong: Exception | None = None  # why: what came after all that is still to be told
         self._timer: asyncio.TimerHandle | None = None
         self._dropped = False
         self.transport: asyncio.Transport | None = None
@@ -168,7 +274,7 @@
         transport.write((self._http.send(request) or b"") + (self._http.send(h11.EndOfMessage()) or b""))
 
     def data_received(self, data: bytes) -> None:
-        """Objects, and blank lines as heartbeats; anything else ends the watch."""
+        """Lists, and blank lines as heartbeats; anything else ends the watch."""
         if self._dropped:
             return
         if self._timer is not None:
@@ -176,29 +282,55 @@
         self._timer = self._discovery.loop.call_later(SILENT, self._finish, self.over)
         try:
             self._http.receive_data(data)
-            while not self._dropped:
+            while not self._ended:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     break
                 if isinstance(event, h11.Response) and event.status_code != 200:
                     raise ValueError(f"status {event.status_code}")
                 if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed) or event is h11.PAUSED:
-                    self.drop()
-                    break
+                    self._ended = True
                 if isinstance(event, h11.Data):
-                    self._read(bytes(event.data))
-        except (h11.RemoteProtocolError, RecursionError, *UNREADABLE) as wrong:
-            log(f"discovery sent what is no watch: {wrong!r}")
-            self.drop()
-
-    def _read(self, data: bytes) -> None:
-        found = self._objects.feed(data)
-        for item in found:
-            self._discovery.take(item)
-        if not self.spoke and (found or self._objects.empty()):
+                    self._lists.feed(bytes(event.data))
+                    self._heard = True
+        except (h11.RemoteProtocolError, ValueError) as wrong:
+            self._ended, self._wrong = True, wrong
+        if not self._working:
+            self._work()
+
+    def _refuse(self, wrong: Exception) -> None:
+        log(f"discovery sent what is no watch: {wrong!r}")
+        self.drop()
+
+    def _work(self) -> None:
+        """Tell one part; the next has the loop's next turn, and nothing more is read meanwhile."""
+        if self._dropped:
+            return
+        try:
+            part = self._lists.next()
+            if part is not None:
+                self._discovery.take(part)
+            elif self._lists.broken_off():
+                raise ValueError("an object without an end")
+        except (RecursionError, *UNREADABLE) as wrong:
+            self._refuse(wrong)
+            return
+        if not self.spoke and self._heard and (part is not None or self._lists.speaks()):
             self.spoke = True
             self._discovery.adopt(self)
             self._finish(self.settled)
+        self._go_on(part is not None)
+
+    def _go_on(self, more: bool) -> None:
+        if more:
+            self._discovery.loop.call_soon(self._work)
+        elif self._wrong is not None:
+            self._refuse(self._wrong)
+        elif self._ended:
+            self.drop()
+        if more is not self._working and self.transport is not None and not self.transport.is_closing():
+            (self.transport.pause_reading if more else self.transport.resume_reading)()
+        self._working = more
 
     @staticmethod
     def _finish(future: asyncio.Future[None]) -> None:
@@ -232,12 +364,14 @@
         news: News,
         loop: asyncio.AbstractEventLoop,
         chance: random.Random,
+        memory: int = MEMORY,
     ) -> None:
+        """memory: bytes that the gateway may use."""
         self.loop = loop
         self._backoff = Backoff(RETRY, MOST_RETRY, chance)
         self.version = version
         self.told = asyncio.Event()  # something has been heard since the start
-        self.address, self._names, self._news = address, names, news
+        self.address, self.names, self.memory, self._news = address, names, memory, news
         self._watch: _Watch | None = None  # the last one that has spoken
         self._tries: list[_Watch] = []  # those that have not spoken yet
         self._task = loop.create_task(self._keep())
@@ -251,17 +385,19 @@
         self._drop_tries()
         self._task = self.loop.create_task(self._keep())
 
-    def take(self, data: Any) -> None:
-        """One object of a watch. One older than what is known tells nothing, whoever sends it."""
-        members, lines = read_list(data, self._names)
+    def take(self, part: Part) -> None:
+        """A part of a watch's list. One older than what is known tells nothing, whoever sends it."""
+        members, lines, last = part
         if members.version < self.version:
-            log(f"discovery told of version {members.version} after {self.version}; it stays with that")
+            if last:
+                log(f"discovery told of version {members.version} after {self.version}; it stays with that")
             return
-        self.version = members.version
-        self._backoff.reset()
-        if lines or members.kind is ListKind.FULL:
+        if lines or (last and members.kind is ListKind.FULL):
             self._news(members, lines)
-        self.told.set()
+        if last:
+            self.version = members.version
+            self._backoff.reset()
+            self.told.set()
 
     def adopt(self, watch: _Watch) -> None:
         """This one speaks: the others are not needed any more."""
--- a/lynxreel/servers.py
+++ b/lynxreel/servers.py
@@ -215,15 +215,26 @@
         self.ages = Ages()
         self._safe = [cls.effect is Effect.REPEATABLE for cls in settings.classes]
         self._pools: dict[str, Pool] = {}
+        self._unnamed: set[str] = set()  # servers that the parts of a whole list have not named so far
         self._out: dict[Attempt, tuple[asyncio.TimerHandle, Connection | None]] = {}
         self._connects: dict[Attempt, asyncio.Task[None]] = {}
         self._sweep()
 
-    def update(self, lines: Iterable[tuple[Member, tuple[str, int]]], whole: bool) -> None:
-        """News of the list: addresses, restarts, and servers that may be sent nothing new."""
-        named = set()
+    def update(
+        self,
+        lines: Iterable[tuple[Member, tuple[str, int]]],
+        whole: bool,
+        first: bool = True,
+        last: bool = True,
+    ) -> None:
+        """News of the list: addresses, restarts, and servers that may be sent nothing new.
+
+        A whole list may come in parts, from a first to a last one: what none of them names is gone then.
+        """
+        if whole and first:
+            self._unnamed = set(self._pools)
         for member, address in lines:
-            named.add(member.server)
+            self._unnamed.discard(member.server)
             pool = self._pools.setdefault(member.server, Pool(self))
             if pool.home != (address, member.started_at):
                 pool.home = (address, member.started_at)
@@ -232,9 +243,10 @@
                 pool.stopped = False
             else:
                 self._stop(pool)
-        if whole:
-            for name in self._pools.keys() - named:
+        if whole and last:
+            for name in self._unnamed & self._pools.keys():
                 self._stop(self._pools[name])
+            self._unnamed = set()
 
     def _stop(self, pool: Pool) -> None:
         if not pool.stopped:
