--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -1,9 +1,10 @@
-"""The standing terms on real connections: clients that have gone, crowds of idle ones, hard starts."""
+"""The standing terms on real connections: what is told, clients that have gone, crowds, hard starts."""
 
 import asyncio
 import contextlib
 import itertools
 import json
+import random
 import select
 import signal
 import socket
@@ -15,13 +16,14 @@
 
 import pytest
 
-from lynxreel import gateway
+from lynxreel import discovery, gateway
 from lynxreel.clients import MOST_OPEN, Clients, Connection
+from lynxreel.discovery import Discovery
 from lynxreel.gateway import Engine
 from lynxreel.servers import Servers
 from mothgap import interface as api
 from tests.helpers import SETTINGS
-from tests.net import LOCAL, TERMS, Heard, Peer, call, resp, run
+from tests.net import LOCAL, NAMES, TERMS, Heard, Peer, call, resp, run
 from tests.test_engine import Module
 from tests.test_process import GATEWAY, PATIENCE, RUN, accept, config, connect, free_port, listener, start
 from tests.test_servers import LONG, OK, at
@@ -30,6 +32,7 @@
 PING, PONG = resp(b"PING"), b"+PONG\r\n"
 SOCKETS = 128
 CROWD = 400  # clients that idle: more than there are descriptors
+TOLD = 6.0  # seconds after which what discovery has counts as told
 ALLOWED = 0.1  # seconds after a close in which an attempt may still begin
 Script = Callable[[api.Event], Iterator[api.Action]]
 
@@ -307,3 +310,43 @@
         end = stack.enter_context(socket.socket())
         end.setblocking(False)
         end.connect_ex(peer.getsockname())
+
+
+def test_an_agent_that_could_not_be_reached_is_asked_long_before_its_news_counts_as_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Refused, reset, failed, given up as silent: after each call the next comes at once, however many failed.
+    pauses: list[float] = []
+    sleep = asyncio.sleep
+
+    async def noted(span: float) -> None:
+        pauses.append(span)
+        await sleep(0)
+
+    async def scenario() -> None:
+        told, loop = asyncio.Queue[api.Members](), asyncio.get_running_loop()
+        with socket.socket() as agent:
+            agent.bind((LOCAL, 0))  # it does not listen: connects are refused
+            agent.setblocking(False)
+            address, chance = agent.getsockname(), random.Random(1)
+            watch = Discovery(address, 41, NAMES, lambda news, _: told.put_nowait(news), loop, chance)
+            while len(pauses) < 40:
+                await sleep(0)
+            agent.listen()
+            for answer in (b"", b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n"):
+                with (await loop.sock_accept(agent))[0] as end:
+                    end.sendall(answer)
+            silent, _ = await loop.sock_accept(agent)
+            end, _ = await loop.sock_accept(agent)
+            tell_list(end, 81)
+            assert (await told.get()).version == 42
+            watch.close()
+            silent.close()
+            end.close()
+
+    monkeypatch.setattr("lynxreel.discovery.asyncio.sleep", noted)
+    run(scenario)
+    longest = max(pauses)
+    assert longest <= discovery.MOST_RETRY
+    # A watch falls silent, another is opened, which finds an agent that just then could not be reached.
+    assert discovery.SILENT + discovery.ANSWER + 2 * longest + discovery.ANSWER < TOLD
