--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -85,8 +85,8 @@
 class Line:
     """A gateway between one server and clients whose sockets act at once, between turns of the loop."""
 
-    def __init__(self, engine: Engine, peer: Peer, clients: Clients) -> None:
-        self.peer, self.clients = peer, clients
+    def __init__(self, engine: Engine, peer: Peer, clients: Clients, servers: Servers) -> None:
+        self.peer, self.clients, self.servers = peer, clients, servers
         self.counts = engine.counter = Held(engine)
         self.client = self.connect()
 
@@ -126,7 +126,7 @@
             servers.update(at(peer.port), True)
             clients = Clients(engine, TERMS, 8, loop)
             await clients.listen(LOCAL, 0)
-            line = Line(engine, peer, clients)
+            line = Line(engine, peer, clients, servers)
             await line.serve(line.client, 1)
             await scenario(line)
             line.client.close()
@@ -187,6 +187,32 @@
     play(monkeypatch, script, scenario)
 
 
+@pytest.mark.parametrize("abrupt", [True, False])
+def test_no_attempt_begins_for_a_client_that_closes_while_the_gateway_stops(
+    monkeypatch: pytest.MonkeyPatch, abrupt: bool
+) -> None:
+    leaving: list[socket.socket] = []
+
+    def script(event: api.Event) -> Iterator[api.Action]:
+        if isinstance(event, api.Counted) and leaving:
+            leave(leaving.pop(), abrupt)
+        yield from send_after_waits(event)
+
+    async def scenario(line: Line) -> None:
+        line.client.sendall(call(2) + call(3) + call(4)[:-5])
+        await until(lambda: len(line.counts.asked) == 2)
+        stop = asyncio.create_task(line.clients.stop(0.0, 60.0))
+        await until(lambda: line.clients.closing)
+        leaving.append(line.client)
+        line.counts.tell()
+        await until(lambda: ended() == 2)
+        await stop
+        line.servers.close()
+        assert (await line.peer.came.get())[1] == b""  # the end of the idle connection, and nothing before
+
+    play(monkeypatch, script, scenario)
+
+
 @pytest.mark.parametrize("abrupt", [True, False])
 def test_what_waits_unread_behind_a_close_is_not_taken(monkeypatch: pytest.MonkeyPatch, abrupt: bool) -> None:
     # It would take its units of the quota, and perhaps be sent.
