Keep to drains told by a list that broke off when an older one follows

Cause: parts of a list hold at once, but its version is taken only at its end. An agent that lags could answer the next watch with an older list, in which a server that was told to drain serves.

Change: until a list as new as the one that broke off has come whole, older ones can't make the servers ready that its parts told off; all else of them is told. Tests: that, and that text with braces, quotes and list names in strings is cut at the same places in pieces of any size.

--- a/lynxreel/discovery.py
+++ b/lynxreel/discovery.py
@@ -8,6 +8,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, NamedTuple, cast
 
 import h11
@@ -370,6 +371,8 @@
         self.loop = loop
         self._backoff = Backoff(RETRY, MOST_RETRY, chance)
         self.version = version
+        self._begun = version  # the newest of which a part has come
+        self._off: set[str] = set()  # servers that its parts say may be sent nothing, until all have come
         self.told = asyncio.Event()  # something has been heard since the start
         self.address, self.names, self.memory, self._news = address, names, memory, news
         self._watch: _Watch | None = None  # the last one that has spoken
@@ -392,13 +395,27 @@
             if last:
                 log(f"discovery told of version {members.version} after {self.version}; it stays with that")
             return
-        if lines or (last and members.kind is ListKind.FULL):
+        news = bool(lines) or (last and members.kind is ListKind.FULL)
+        if members.version < self._begun:
+            lines = [(m, at) for m, at in lines if m.state is not State.READY or m.server not in self._off]
+            members = replace(members, members=tuple(member for member, _ in lines))
+        else:
+            self._note(members, last)
+        if news:
             self._news(members, lines)
         if last:
             self.version = members.version
             self._backoff.reset()
             self.told.set()
 
+    def _note(self, members: Members, last: bool) -> None:
+        """Guards drains told by a list that breaks off: an older one that follows does not undo them."""
+        self._begun = members.version
+        for member in members.members:
+            (self._off.discard if member.state is State.READY else self._off.add)(member.server)
+        if last:
+            self._off.clear()
+
     def adopt(self, watch: _Watch) -> None:
         """This one speaks: the others are not needed any more."""
         self._tries.remove(watch)
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -14,6 +14,7 @@
 
 from lynxreel import discovery as module
 from lynxreel.__main__ import FREEZE, Freezer
+from lynxreel.cutter import Cutter
 from lynxreel.discovery import PART, Discovery, Line
 from lynxreel.gateway import Attempt, Engine
 from lynxreel.log import _Log
@@ -194,6 +195,55 @@
     play(scenario)
 
 
+def test_what_a_list_told_of_drains_before_it_broke_off_is_not_undone_by_an_older_one() -> None:
+    def cut(version: int, lifecycle: str, end: str) -> bytes:
+        listed = [{"instanceId": name, "hostPort": "h:1", "lifecycle": lifecycle} for name in ("s-1", "x")]
+        text = json.dumps({"generation": version, "reset": True, "instances": listed})
+        return chunk(text.removesuffix("]}").encode() + end.encode())
+
+    async def scenario(watched: Watched) -> None:
+        await watched.peer.answer(HEAD + cut(50, "DRAINING", "\n\n"))
+        assert b"from=41 " in await watched.asked_again()
+        watched.peer.writers[-1].write(HEAD + cut(49, "SERVING", "]}\n") + chunk(line(49, instanceId="y")))
+        await watched.until(49)
+        watched.peer.writers[-1].write(chunk(line(50)))
+        await watched.until(50)
+        assert [[(m.server, m.state) for m in members.members] for _, members in watched.news] == [
+            [("s-1", State.DRAINING), ("x", State.DRAINING)],
+            [],
+            [("y", State.READY)],
+            [("s-1", State.READY)],
+        ]
+
+    play(scenario)
+
+
+AWKWARD: list[dict[str, Any]] = [
+    {"instanceId": 'a "}],[{" \\', "hostPort": "h:1", "lifecycle": "SERVING", "more": {"x": [{}, "]}"]}},
+    {"instanceId": "\u00e9\u20ac\U0001f600}", "hostPort": "h:2", "lifecycle": "SERVING", "instances": [1]},
+    {"instanceId": '"instances": [', "hostPort": "h:3", "lifecycle": "SERVING", "weight": 1e3},
+]
+
+
+@pytest.mark.parametrize("step", [1, 2, 3, 50, 1 << 20])
+@pytest.mark.parametrize("indent", [None, 1])
+@pytest.mark.parametrize("before", [{}, {"note": '"instances": [', "other": {"instances": [{}], "x": None}}])
+def test_text_is_cut_at_the_same_places_in_whatever_pieces_it_comes(
+    before: dict[str, Any], indent: int | None, step: int
+) -> None:
+    data = {**before, "generation": 1, "reset": True, "instances": AWKWARD * 2, "after": {"instances": ["}"]}}
+    text = 2 * (json.dumps(data, indent=indent, ensure_ascii=False) + "\n").encode()
+    cutter, names, ends = Cutter(("instances",)), [], 0
+    for at in range(0, len(text), step):
+        cutter.feed(text[at : at + step])
+        while (run := cutter.next()) is not None:
+            names += [entry["instanceId"] for entry in json.loads(b"[" + run.text + b"]")]
+            ends += run.last
+    assert names == [entry["instanceId"] for entry in AWKWARD * 4]
+    assert ends == 2
+    assert cutter.empty()
+
+
 def test_a_watch_that_has_answered_but_told_nothing_does_not_count() -> None:
     async def scenario(watched: Watched) -> None:
         await watched.peer.answer(HEAD)
