Write nothing for a client that closes while the connection for it comes up

Cause: the engine asks the client's connection before an attempt, but where no idle connection is at hand the command is written only when a new one has come up, in that turn of the loop, before the close is read (Servers._connect). A probe showed the command at the server.

Change: _connect asks again before it writes; the new connection rests for others. A withdrawal may now come from within the connect's own task, which has taken itself off the table.

Test: the client closes in the very turn in which the connect comes up, with a close and with a reset; both cases fail without the change.

--- a/lynxreel/servers.py
+++ b/lynxreel/servers.py
@@ -364,6 +364,9 @@
         elif connection.home != pool.home:
             connection.drop()
             self.end(attempt, Result.NOT_SENT)  # the server is another one now, of which this says nothing
+        elif attempt.call.has_left():  # while it came up; what goes with that has ended the attempt
+            pool.add(connection)
+            pool.give(connection)
         else:
             pool.add(connection)
             self._write(attempt, connection, deadline - self._engine.clock.now())
@@ -383,7 +386,8 @@
             return
         connection = out[1]
         if connection is None:
-            self._connects.pop(attempt).cancel()
+            if (task := self._connects.pop(attempt, None)) is not None:
+                task.cancel()
         elif connection.unwritten:
             connection.attempt = None
             connection.drop()
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -26,6 +26,9 @@
     def __init__(self, size: int = 10, cls: int = REPEATABLE) -> None:
         self.size, self.cls = size, cls
 
+    def has_left(self) -> bool:
+        return False
+
     def command(self, wait: int) -> bytes:
         return resp(b"CALL.GET", b"x" * self.size)
 
--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -135,6 +135,21 @@
     run(start)
 
 
+class Instant:
+    """A loop on which something happens in the very turn in which a connect comes up."""
+
+    def __init__(self, then: Callable[[], None]) -> None:
+        self._loop, self._then = asyncio.get_running_loop(), then
+
+    async def create_connection(self, *args: Any) -> Any:
+        made = await self._loop.create_connection(*args)
+        self._then()
+        return made
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
+
+
 async def until(true: Callable[[], bool]) -> None:
     while not true():
         await asyncio.sleep(0)
@@ -187,6 +202,24 @@
     play(monkeypatch, script, scenario)
 
 
+@pytest.mark.parametrize("abrupt", [True, False])
+def test_a_connection_that_comes_up_after_the_close_carries_nothing_of_that_client(
+    monkeypatch: pytest.MonkeyPatch, abrupt: bool
+) -> None:
+    async def scenario(line: Line) -> None:
+        line.servers.loop = cast(asyncio.AbstractEventLoop, Instant(lambda: leave(line.client, abrupt)))
+        line.servers.drop_idle(line.servers.loop.time() + 60.0)
+        with line.connect() as other:
+            line.client.sendall(call(2))
+            await until(lambda: bool(line.counts.asked))
+            line.counts.tell()
+            await until(lambda: ended() == 1)
+            line.servers.loop = asyncio.get_running_loop()
+            assert (await line.serve(other, 3)).count(b"CALL.GET") == 1  # nothing came before it
+
+    play(monkeypatch, send_after_waits, scenario)
+
+
 @pytest.mark.parametrize("abrupt", [True, False])
 def test_no_attempt_begins_for_a_client_that_closes_while_the_gateway_stops(
     monkeypatch: pytest.MonkeyPatch, abrupt: bool
