Judge cold servers by the answers of as many servers as gave them, also when all restart

Cause: _warm_rate divided the answers of the last five seconds, from all servers before a restart, by those that are warm now, and by nothing where none is.

Change: the answers are divided by what the servers of that kind were worth over the same time, a cold one counted by what it has grown to.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -158,16 +158,28 @@
 class _Kind:
     """What servers of one kind share: a gateway of a large fleet meets each of them too seldom."""
 
-    __slots__ = ("at", "pace", "rate", "seen")
+    __slots__ = ("at", "counted_at", "full", "mean_full", "pace", "rate", "seen")
 
     def __init__(self, now: int) -> None:
         self.pace, self.seen = 1.0, 0  # answer time against the usual of the class, and answers behind it
         self.rate, self.at = 0.0, now  # answers a second from all of them to this gateway, fading
+        # How many warm ones they are worth, a cold one by what it has grown to; and the mean of that, which
+        # fades as the answers do: where many have just restarted both still tell of the time before.
+        self.full, self.mean_full, self.counted_at = 0.0, 0.0, now
 
     def rate_at(self, now: int) -> float:
         """Answers a second over about the last MEAN_SPAN."""
         return self.rate * math.exp((self.at - now) / MEAN_SPAN)
 
+    def count(self, full: float, now: int) -> None:
+        """They are worth so many warm ones from now on."""
+        self.mean_full = self.mean_full_at(now) or full
+        self.full, self.counted_at = full, now
+
+    def mean_full_at(self, now: int) -> float:
+        """What they were worth over about the last MEAN_SPAN."""
+        return self.full + (self.mean_full - self.full) * math.exp((self.counted_at - now) / MEAN_SPAN)
+
 
 class _Server:
     """What this gateway knows of one server."""
@@ -235,8 +247,7 @@
         self._looking: Iterator[Member] | None = None  # over all entries, as their share has changed
         self._ready: list[_Server] = []  # those of the subset, and guests, that are ready
         self._kinds: dict[int, _Kind] = {}
-        self._warm_of: dict[int, int] = {}  # warm servers of the subset by kind, counted at `_warm_at`
-        self._warm_at = now - NAME_LIFE
+        self._warm, self._warm_at = 0, now - NAME_LIFE  # warm ones among these, and when they were counted
         self._pooled: _Limit | None = None  # one limit for all, where many gateways share each server
         self._live, self._credit, self._credit_at = 0, 0.0, now  # attempts out; attempt-microseconds saved up
         self._mean_value = 1e-9  # running mean of worth for the work
@@ -711,7 +722,7 @@
         self._count_warm()
         if self._roster.share >= self._s.fleet_size:
             return
-        good, need = sum(self._warm_of.values()) - suspects, FILL_BELOW * self._roster.expected()
+        good, need = self._warm - suspects, FILL_BELOW * self._roster.expected()
         if good < need and len(self._ready) < 2.0 * self._roster.expected():
             line = self._roster.outside(self._could_help, self._random)
             if line is not None:
@@ -785,25 +796,29 @@
         That is judged by what warm servers of its kind answer, or of any kind where there is none.
         """
         safety = self._s.safety
-        started = server.line.started_at
         if not self._is_cold(server.line):
             return True
         if server.guest:
             return False
-        age = max(0, self._now - started) / max(1, safety.cold_span)
-        grown = safety.cold_from + (1 - safety.cold_from) * age
-        pace = COLD_MARGIN * safety.fall_multiple * grown * self._warm_rate(server)
+        pace = COLD_MARGIN * safety.fall_multiple * self._grown(server.line) * self._warm_rate(server)
         server.cold_left = min(1.0, server.cold_left + pace * (self._now - server.cold_at) / SECOND)
         server.cold_at = self._now
         return server.cold_left >= 1.0
 
     def _warm_rate(self, server: _Server) -> float:
-        """Answers a second to this gateway from a warm server of its kind, or of any where there is none."""
+        """Answers a second to this gateway from a warm server of its kind, or of any where none is known."""
         self._count_warm()
-        warm, rate = self._warm_of.get(server.line.kind, 0), server.kind.rate_at(self._now)
-        if not warm:
-            warm, rate = sum(self._warm_of.values()), sum(k.rate_at(self._now) for k in self._kinds.values())
-        return rate / max(1, warm)
+        kinds = [server.kind] if server.kind.rate > 0 else list(self._kinds.values())
+        full = sum(kind.mean_full_at(self._now) for kind in kinds)
+        return sum(kind.rate_at(self._now) for kind in kinds) / max(1.0, full)
+
+    def _grown(self, line: Member) -> float:
+        """The part of its capacity that a server has now."""
+        if not self._is_cold(line):
+            return 1.0
+        safety = self._s.safety
+        age = max(0, self._now - line.started_at) / max(1, safety.cold_span)
+        return safety.cold_from + (1 - safety.cold_from) * age
 
     def _count_warm(self) -> None:
         """Now and then, not for each cold server of each choice: that is quadratic. Guests leave here."""
@@ -815,8 +830,9 @@
             for guest in [s for s in self._ready if s.guest and not s.out]:
                 del self._servers[guest.line.server]
             self._ready = [s for s in self._ready if not s.guest or s.out]
-        kinds, self._warm_at = [s.line.kind for s in self._ready if not self._is_cold(s.line)], self._now
-        self._warm_of = {kind: kinds.count(kind) for kind in self._kinds}
+        self._warm, self._warm_at = sum(not self._is_cold(s.line) for s in self._ready), self._now
+        for number, kind in self._kinds.items():
+            kind.count(sum(self._grown(s.line) for s in self._ready if s.line.kind == number), self._now)
 
     def _silent(self, server: _Server, since: int) -> bool:
         """No answer of any kind since then, though it owed some.
