Give each run of a list that has to be held a turn of the loop too

Change: reading pauses while cut text is left, told or not.

Tests: each run cut of a list that is held has a turn of its own (fails without the change), and the configuration is read in pieces with a turn each, without its list.

--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -103,10 +103,10 @@
     try:
         for data in read_file():
             lists.feed(data)
-            while (part := lists.next()) is not None:
-                news(part.members, part.lines)
-                if part.last:
-                    version = part.members.version
+            while not lists.idle:
+                if (part := lists.next()) is not None:
+                    news(part.members, part.lines)
+                    version = part.members.version if part.last else version
                 await asyncio.sleep(0)  # the module takes it in
     except UNREADABLE as wrong:
         log(f"the list of servers in the configuration can't be read: {wrong!r}")
--- a/lynxreel/discovery.py
+++ b/lynxreel/discovery.py
@@ -154,6 +154,7 @@
         self._names, self._kind, self._within = names, kind, within
         self._most, self._most_held = int(memory * TEXT_PART), int(memory * HELD_PART)
         self._most_entries = memory // SERVER_MEMORY
+        self.idle = True  # nothing more can be done with the text that has come
         self._begin()
 
     def _begin(self) -> None:
@@ -167,6 +168,7 @@
     def feed(self, data: bytes) -> None:
         """More text."""
         self._cutter.feed(data)
+        self.idle = False
 
     def speaks(self) -> bool:
         """True where entries have come, and between lists."""
@@ -177,12 +179,17 @@
         return self._cutter.blank()
 
     def next(self) -> Part | None:
-        """The next part; None where more text has to come. Raises one of UNREADABLE for what is no list."""
-        while self._header is None or not (self._items or self._runs or self._ended):
+        """The next part; None where more has to come: of the text, or, if not idle, of what has come.
+
+        Raises one of UNREADABLE for what is no list.
+        """
+        if self._header is None or not (self._items or self._runs or self._ended):
             run = self._cutter.next()
-            if run is None:
+            self.idle = run is None
+            if run is not None:
+                self._take(run)
+            if self._header is None or run is None:
                 return None
-            self._take(run)
         while self._runs and len(self._items) < PART:
             self._items += _read_run(self._runs.popleft())
         items, self._items = self._items[:PART], self._items[PART:]
@@ -304,14 +311,14 @@
         self.drop()
 
     def _work(self) -> None:
-        """Tell one part; the next has the loop's next turn, and nothing more is read meanwhile."""
+        """Tell or hold one part; the next has the loop's next turn, and nothing more is read meanwhile."""
         if self._dropped:
             return
         try:
             part = self._lists.next()
             if part is not None:
                 self._discovery.take(part)
-            elif self._lists.broken_off():
+            elif self._lists.idle and self._lists.broken_off():
                 raise ValueError("an object without an end")
         except (RecursionError, *UNREADABLE) as wrong:
             self._refuse(wrong)
@@ -320,7 +327,7 @@
             self.spoke = True
             self._discovery.adopt(self)
             self._finish(self.settled)
-        self._go_on(part is not None)
+        self._go_on(not self._lists.idle)
 
     def _go_on(self, more: bool) -> None:
         if more:
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -13,8 +13,8 @@
 import pytest
 
 from lynxreel import discovery as module
-from lynxreel.__main__ import FREEZE, Freezer
-from lynxreel.cutter import Cutter
+from lynxreel.__main__ import FREEZE, PIECE, Freezer, read_config
+from lynxreel.cutter import RUN, Cutter, Run
 from lynxreel.discovery import PART, Discovery, Line
 from lynxreel.gateway import Attempt, Engine
 from lynxreel.log import _Log
@@ -147,12 +147,25 @@
     play(scenario)
 
 
-def test_one_whose_version_comes_behind_its_entries_is_held_until_then() -> None:
+def test_one_whose_version_comes_behind_its_entries_is_held_until_then(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def scenario(watched: Watched) -> None:
         text = json.dumps({"instances": entries(LONG), "reset": True, "generation": 50}).encode()
+        cuts: list[int] = []
+        cut = Cutter.next
+
+        def noted(cutter: Cutter) -> Run | None:
+            run = cut(cutter)
+            cuts.extend([watched.turn] if run is not None else [])
+            return run
+
+        monkeypatch.setattr(Cutter, "next", noted)
         await watched.peer.answer(HEAD + chunk(text[:-20]))
-        while watched.discovery._watch is None:  # it has begun to speak
+        while len(cuts) < len(text) // RUN:
             await asyncio.sleep(0)
+        assert len(set(cuts)) == len(cuts)  # each has a turn of its own
+        assert watched.discovery._watch is not None  # though it has told nothing, it speaks
         assert not watched.news
         watched.peer.writers[0].write(chunk(text[-20:]))
         await watched.until(50)
@@ -424,3 +437,26 @@
     monkeypatch.setattr(gc, "freeze", lambda: frozen.append(None))
     run(scenario)
     assert len(frozen) == 3
+
+
+def test_the_configuration_is_read_in_pieces_that_each_have_a_turn_and_without_its_list(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # At SIGHUP requests go on, and there may be no room for the whole text.
+    text = json.dumps({"known": {"generation": 1, "instances": entries(LONG)}, "listen": "here"}) + "\n"
+    turns: list[int] = []
+
+    async def scenario() -> None:
+        task = asyncio.create_task(read_config())
+        while not task.done():
+            turns.append(1)
+            await asyncio.sleep(0)
+        assert await task == {"known": {"generation": 1, "instances": []}, "listen": "here"}
+
+    monkeypatch.setenv("EDGE_CONFIG", str(tmp_path / "config.json"))
+    (tmp_path / "config.json").write_text(text)
+    run(scenario)
+    assert len(turns) >= len(text) // PIECE
+    (tmp_path / "config.json").write_text(text + "{}")
+    with pytest.raises(ValueError, match="one whole JSON object"):
+        run(scenario)
