--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -85,8 +85,8 @@
 class Line:
     """A gateway between one server and clients whose sockets act at once, between turns of the loop."""
 
-    def __init__(self, engine: Engine, peer: Peer, clients: Clients) -> None:
-        self.peer, self.clients = peer, clients
+    def __init__(self, engine: Engine, peer: Peer, clients: Clients, servers: Servers) -> None:
+        self.peer, self.clients, self.servers = peer, clients, servers
         self.counts = engine.counter = Held(engine)
         self.client = self.connect()
 
@@ -126,7 +126,7 @@
             servers.update(at(peer.port), True)
             clients = Clients(engine, TERMS, 8, loop)
             await clients.listen(LOCAL, 0)
-            line = Line(engine, peer, clients)
+            line = Line(engine, peer, clients, servers)
             await line.serve(line.client, 1)
             await scenario(line)
             line.client.close()
@@ -135,6 +135,21 @@
     run(start)
 
 
+class Instant:
+    """A loop on which something happens in the very turn in which a connect comes up."""
+
+    def __init__(self, then: Callable[[], None]) -> None:
+        self._loop, self._then = asyncio.get_running_loop(), then
+
+    async def create_connection(self, *args: Any) -> Any:
+        made = await self._loop.create_connection(*args)
+        self._then()
+        return made
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
+
+
 async def until(true: Callable[[], bool]) -> None:
     while not true():
         await asyncio.sleep(0)
@@ -187,6 +202,50 @@
     play(monkeypatch, script, scenario)
 
 
+@pytest.mark.parametrize("abrupt", [True, False])
+def test_a_connection_that_comes_up_after_the_close_carries_nothing_of_that_client(
+    monkeypatch: pytest.MonkeyPatch, abrupt: bool
+) -> None:
+    async def scenario(line: Line) -> None:
+        line.servers.loop = cast(asyncio.AbstractEventLoop, Instant(lambda: leave(line.client, abrupt)))
+        line.servers.drop_idle(line.servers.loop.time() + 60.0)
+        with line.connect() as other:
+            line.client.sendall(call(2))
+            await until(lambda: bool(line.counts.asked))
+            line.counts.tell()
+            await until(lambda: ended() == 1)
+            line.servers.loop = asyncio.get_running_loop()
+            assert (await line.serve(other, 3)).count(b"CALL.GET") == 1  # nothing came before it
+
+    play(monkeypatch, send_after_waits, scenario)
+
+
+@pytest.mark.parametrize("abrupt", [True, False])
+def test_no_attempt_begins_for_a_client_that_closes_while_the_gateway_stops(
+    monkeypatch: pytest.MonkeyPatch, abrupt: bool
+) -> None:
+    leaving: list[socket.socket] = []
+
+    def script(event: api.Event) -> Iterator[api.Action]:
+        if isinstance(event, api.Counted) and leaving:
+            leave(leaving.pop(), abrupt)
+        yield from send_after_waits(event)
+
+    async def scenario(line: Line) -> None:
+        line.client.sendall(call(2) + call(3) + call(4)[:-5])
+        await until(lambda: len(line.counts.asked) == 2)
+        stop = asyncio.create_task(line.clients.stop(0.0, 60.0))
+        await until(lambda: line.clients.closing)
+        leaving.append(line.client)
+        line.counts.tell()
+        await until(lambda: ended() == 2)
+        await stop
+        line.servers.close()
+        assert (await line.peer.came.get())[1] == b""  # the end of the idle connection, and nothing before
+
+    play(monkeypatch, script, scenario)
+
+
 @pytest.mark.parametrize("abrupt", [True, False])
 def test_what_waits_unread_behind_a_close_is_not_taken(monkeypatch: pytest.MonkeyPatch, abrupt: bool) -> None:
     # It would take its units of the quota, and perhaps be sent.
