Judge cold servers by answers of warm ones over the time that these were warm

Change: answers of cold servers no longer count for the rate; the rest is divided by the number of warm ones in the same fading mean. When all restart both fade alike, and what is known of a warm one stays.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -158,27 +158,27 @@
 class _Kind:
     """What servers of one kind share: a gateway of a large fleet meets each of them too seldom."""
 
-    __slots__ = ("at", "counted_at", "full", "mean_full", "pace", "rate", "seen")
+    __slots__ = ("at", "counted_at", "mean_warm", "pace", "rate", "seen", "warm")
 
     def __init__(self, now: int) -> None:
         self.pace, self.seen = 1.0, 0  # answer time against the usual of the class, and answers behind it
-        self.rate, self.at = 0.0, now  # answers a second from all of them to this gateway, fading
-        # How many warm ones they are worth, a cold one by what it has grown to; and the mean of that, which
-        # fades as the answers do: where many have just restarted both still tell of the time before.
-        self.full, self.mean_full, self.counted_at = 0.0, 0.0, now
+        self.rate, self.at = 0.0, now  # answers a second from all warm ones to this gateway, fading
+        # Warm ones now, and in a mean that fades as the answers do: where many have just restarted, what both
+        # tell of the time before still holds for each.
+        self.warm, self.mean_warm, self.counted_at = 0, 0.0, now
 
     def rate_at(self, now: int) -> float:
         """Answers a second over about the last MEAN_SPAN."""
         return self.rate * math.exp((self.at - now) / MEAN_SPAN)
 
-    def count(self, full: float, now: int) -> None:
-        """They are worth so many warm ones from now on."""
-        self.mean_full = self.mean_full_at(now) or full
-        self.full, self.counted_at = full, now
+    def count(self, warm: int, now: int) -> None:
+        """So many of them are warm from now on."""
+        self.mean_warm = self.mean_warm_at(now) or warm
+        self.warm, self.counted_at = warm, now
 
-    def mean_full_at(self, now: int) -> float:
-        """What they were worth over about the last MEAN_SPAN."""
-        return self.full + (self.mean_full - self.full) * math.exp((self.counted_at - now) / MEAN_SPAN)
+    def mean_warm_at(self, now: int) -> float:
+        """How many were warm over about the last MEAN_SPAN."""
+        return self.warm + (self.mean_warm - self.warm) * math.exp((self.counted_at - now) / MEAN_SPAN)
 
 
 class _Server:
@@ -208,7 +208,7 @@
         self.aside, self.trial = True, now + span
 
     def count_pace(self, pace: float, answered: bool, now: int) -> None:
-        """One more answer time, or a part of one, of this server and its kind."""
+        """One more answer time, or a part of one, of this server and its kind; an answer while it is warm?"""
         for known in (self, self.kind):
             known.seen += 1
             known.pace += max(PACE_SMOOTH, 1.0 / known.seen) * (pace - known.pace)
@@ -800,7 +800,9 @@
             return True
         if server.guest:
             return False
-        pace = COLD_MARGIN * safety.fall_multiple * self._grown(server.line) * self._warm_rate(server)
+        age = max(0, self._now - server.line.started_at) / max(1, safety.cold_span)
+        grown = safety.cold_from + (1 - safety.cold_from) * age
+        pace = COLD_MARGIN * safety.fall_multiple * grown * self._warm_rate(server)
         server.cold_left = min(1.0, server.cold_left + pace * (self._now - server.cold_at) / SECOND)
         server.cold_at = self._now
         return server.cold_left >= 1.0
@@ -809,16 +811,9 @@
         """Answers a second to this gateway from a warm server of its kind, or of any where none is known."""
         self._count_warm()
         kinds = [server.kind] if server.kind.rate > 0 else list(self._kinds.values())
-        full = sum(kind.mean_full_at(self._now) for kind in kinds)
-        return sum(kind.rate_at(self._now) for kind in kinds) / max(1.0, full)
-
-    def _grown(self, line: Member) -> float:
-        """The part of its capacity that a server has now."""
-        if not self._is_cold(line):
-            return 1.0
-        safety = self._s.safety
-        age = max(0, self._now - line.started_at) / max(1, safety.cold_span)
-        return safety.cold_from + (1 - safety.cold_from) * age
+        rate = sum(kind.rate_at(self._now) for kind in kinds)
+        warm = sum(kind.mean_warm_at(self._now) for kind in kinds)
+        return rate / warm if warm > 0 else 0.0
 
     def _count_warm(self) -> None:
         """Now and then, not for each cold server of each choice: that is quadratic. Guests leave here."""
@@ -832,7 +827,8 @@
             self._ready = [s for s in self._ready if not s.guest or s.out]
         self._warm, self._warm_at = sum(not self._is_cold(s.line) for s in self._ready), self._now
         for number, kind in self._kinds.items():
-            kind.count(sum(self._grown(s.line) for s in self._ready if s.line.kind == number), self._now)
+            mine = (s.line for s in self._ready if s.line.kind == number)
+            kind.count(sum(not self._is_cold(line) for line in mine), self._now)
 
     def _silent(self, server: _Server, since: int) -> bool:
         """No answer of any kind since then, though it owed some.
@@ -968,7 +964,8 @@
         usual = self._usual[job.request.cls] or float(event.elapsed) if job is not None else 0.0
         if usual and event.result in (Result.OK, Result.TIMEOUT, Result.CANCELLED):
             # What was given up would have taken longer still: a kind too slow for its load must show it.
-            server.count_pace(event.elapsed / usual, event.result is Result.OK, self._now)
+            answered = event.result is Result.OK and not self._is_cold(server.line)
+            server.count_pace(event.elapsed / usual, answered, self._now)
         if event.result is Result.OK:
             server.errors *= 1 - SMOOTH
             server.aside = server.aside and server.errors > ERROR_LIMIT
