--- a/lynxreel/discovery.py
+++ b/lynxreel/discovery.py
@@ -8,6 +8,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, NamedTuple, cast
 
 import h11
@@ -153,6 +154,7 @@
         self._names, self._kind, self._within = names, kind, within
         self._most, self._most_held = int(memory * TEXT_PART), int(memory * HELD_PART)
         self._most_entries = memory // SERVER_MEMORY
+        self.idle = True  # nothing more can be done with the text that has come
         self._begin()
 
     def _begin(self) -> None:
@@ -166,6 +168,7 @@
     def feed(self, data: bytes) -> None:
         """More text."""
         self._cutter.feed(data)
+        self.idle = False
 
     def speaks(self) -> bool:
         """True where entries have come, and between lists."""
@@ -176,12 +179,17 @@
         return self._cutter.blank()
 
     def next(self) -> Part | None:
-        """The next part; None where more text has to come. Raises one of UNREADABLE for what is no list."""
-        while self._header is None or not (self._items or self._runs or self._ended):
+        """The next part; None where more has to come: of the text, or, if not idle, of what has come.
+
+        Raises one of UNREADABLE for what is no list.
+        """
+        if self._header is None or not (self._items or self._runs or self._ended):
             run = self._cutter.next()
-            if run is None:
+            self.idle = run is None
+            if run is not None:
+                self._take(run)
+            if self._header is None or run is None:
                 return None
-            self._take(run)
         while self._runs and len(self._items) < PART:
             self._items += _read_run(self._runs.popleft())
         items, self._items = self._items[:PART], self._items[PART:]
@@ -303,14 +311,14 @@
         self.drop()
 
     def _work(self) -> None:
-        """Tell one part; the next has the loop's next turn, and nothing more is read meanwhile."""
+        """Tell or hold one part; the next has the loop's next turn, and nothing more is read meanwhile."""
         if self._dropped:
             return
         try:
             part = self._lists.next()
             if part is not None:
                 self._discovery.take(part)
-            elif self._lists.broken_off():
+            elif self._lists.idle and self._lists.broken_off():
                 raise ValueError("an object without an end")
         except (RecursionError, *UNREADABLE) as wrong:
             self._refuse(wrong)
@@ -319,7 +327,7 @@
             self.spoke = True
             self._discovery.adopt(self)
             self._finish(self.settled)
-        self._go_on(part is not None)
+        self._go_on(not self._lists.idle)
 
     def _go_on(self, more: bool) -> None:
         if more:
@@ -370,6 +378,8 @@
         self.loop = loop
         self._backoff = Backoff(RETRY, MOST_RETRY, chance)
         self.version = version
+        self._begun = version  # the newest of which a part has come
+        self._off: set[str] = set()  # servers that its parts say may be sent nothing, until all have come
         self.told = asyncio.Event()  # something has been heard since the start
         self.address, self.names, self.memory, self._news = address, names, memory, news
         self._watch: _Watch | None = None  # the last one that has spoken
@@ -392,13 +402,27 @@
             if last:
                 log(f"discovery told of version {members.version} after {self.version}; it stays with that")
             return
-        if lines or (last and members.kind is ListKind.FULL):
+        news = bool(lines) or (last and members.kind is ListKind.FULL)
+        if members.version < self._begun:
+            lines = [(m, at) for m, at in lines if m.state is not State.READY or m.server not in self._off]
+            members = replace(members, members=tuple(member for member, _ in lines))
+        else:
+            self._note(members, last)
+        if news:
             self._news(members, lines)
         if last:
             self.version = members.version
             self._backoff.reset()
             self.told.set()
 
+    def _note(self, members: Members, last: bool) -> None:
+        """Guards drains told by a list that breaks off: an older one that follows does not undo them."""
+        self._begun = members.version
+        for member in members.members:
+            (self._off.discard if member.state is State.READY else self._off.add)(member.server)
+        if last:
+            self._off.clear()
+
     def adopt(self, watch: _Watch) -> None:
         """This one speaks: the others are not needed any more."""
         self._tries.remove(watch)
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -13,7 +13,8 @@
 import pytest
 
 from lynxreel import discovery as module
-from lynxreel.__main__ import FREEZE, Freezer
+from lynxreel.__main__ import FREEZE, PIECE, Freezer, read_config
+from lynxreel.cutter import RUN, Cutter, Run
 from lynxreel.discovery import PART, Discovery, Line
 from lynxreel.gateway import Attempt, Engine
 from lynxreel.log import _Log
@@ -146,12 +147,25 @@
     play(scenario)
 
 
-def test_one_whose_version_comes_behind_its_entries_is_held_until_then() -> None:
+def test_one_whose_version_comes_behind_its_entries_is_held_until_then(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def scenario(watched: Watched) -> None:
         text = json.dumps({"instances": entries(LONG), "reset": True, "generation": 50}).encode()
+        cuts: list[int] = []
+        cut = Cutter.next
+
+        def noted(cutter: Cutter) -> Run | None:
+            run = cut(cutter)
+            cuts.extend([watched.turn] if run is not None else [])
+            return run
+
+        monkeypatch.setattr(Cutter, "next", noted)
         await watched.peer.answer(HEAD + chunk(text[:-20]))
-        while watched.discovery._watch is None:  # it has begun to speak
+        while len(cuts) < len(text) // RUN:
             await asyncio.sleep(0)
+        assert len(set(cuts)) == len(cuts)  # each has a turn of its own
+        assert watched.discovery._watch is not None  # though it has told nothing, it speaks
         assert not watched.news
         watched.peer.writers[0].write(chunk(text[-20:]))
         await watched.until(50)
@@ -194,6 +208,55 @@
     play(scenario)
 
 
+def test_what_a_list_told_of_drains_before_it_broke_off_is_not_undone_by_an_older_one() -> None:
+    def cut(version: int, lifecycle: str, end: str) -> bytes:
+        listed = [{"instanceId": name, "hostPort": "h:1", "lifecycle": lifecycle} for name in ("s-1", "x")]
+        text = json.dumps({"generation": version, "reset": True, "instances": listed})
+        return chunk(text.removesuffix("]}").encode() + end.encode())
+
+    async def scenario(watched: Watched) -> None:
+        await watched.peer.answer(HEAD + cut(50, "DRAINING", "\n\n"))
+        assert b"from=41 " in await watched.asked_again()
+        watched.peer.writers[-1].write(HEAD + cut(49, "SERVING", "]}\n") + chunk(line(49, instanceId="y")))
+        await watched.until(49)
+        watched.peer.writers[-1].write(chunk(line(50)))
+        await watched.until(50)
+        assert [[(m.server, m.state) for m in members.members] for _, members in watched.news] == [
+            [("s-1", State.DRAINING), ("x", State.DRAINING)],
+            [],
+            [("y", State.READY)],
+            [("s-1", State.READY)],
+        ]
+
+    play(scenario)
+
+
+AWKWARD: list[dict[str, Any]] = [
+    {"instanceId": 'a "}],[{" \\', "hostPort": "h:1", "lifecycle": "SERVING", "more": {"x": [{}, "]}"]}},
+    {"instanceId": "\u00e9\u20ac\U0001f600}", "hostPort": "h:2", "lifecycle": "SERVING", "instances": [1]},
+    {"instanceId": '"instances": [', "hostPort": "h:3", "lifecycle": "SERVING", "weight": 1e3},
+]
+
+
+@pytest.mark.parametrize("step", [1, 2, 3, 50, 1 << 20])
+@pytest.mark.parametrize("indent", [None, 1])
+@pytest.mark.parametrize("before", [{}, {"note": '"instances": [', "other": {"instances": [{}], "x": None}}])
+def test_text_is_cut_at_the_same_places_in_whatever_pieces_it_comes(
+    before: dict[str, Any], indent: int | None, step: int
+) -> None:
+    data = {**before, "generation": 1, "reset": True, "instances": AWKWARD * 2, "after": {"instances": ["}"]}}
+    text = 2 * (json.dumps(data, indent=indent, ensure_ascii=False) + "\n").encode()
+    cutter, names, ends = Cutter(("instances",)), [], 0
+    for at in range(0, len(text), step):
+        cutter.feed(text[at : at + step])
+        while (run := cutter.next()) is not None:
+            names += [entry["instanceId"] for entry in json.loads(b"[" + run.text + b"]")]
+            ends += run.last
+    assert names == [entry["instanceId"] for entry in AWKWARD * 4]
+    assert ends == 2
+    assert cutter.empty()
+
+
 def test_a_watch_that_has_answered_but_told_nothing_does_not_count() -> None:
     async def scenario(watched: Watched) -> None:
         await watched.peer.answer(HEAD)
@@ -374,3 +437,26 @@
     monkeypatch.setattr(gc, "freeze", lambda: frozen.append(None))
     run(scenario)
     assert len(frozen) == 3
+
+
+def test_the_configuration_is_read_in_pieces_that_each_have_a_turn_and_without_its_list(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # At SIGHUP requests go on, and there may be no room for the whole text.
+    text = json.dumps({"known": {"generation": 1, "instances": entries(LONG)}, "listen": "here"}) + "\n"
+    turns: list[int] = []
+
+    async def scenario() -> None:
+        task = asyncio.create_task(read_config())
+        while not task.done():
+            turns.append(1)
+            await asyncio.sleep(0)
+        assert await task == {"known": {"generation": 1, "instances": []}, "listen": "here"}
+
+    monkeypatch.setenv("EDGE_CONFIG", str(tmp_path / "config.json"))
+    (tmp_path / "config.json").write_text(text)
+    run(scenario)
+    assert len(turns) >= len(text) // PIECE
+    (tmp_path / "config.json").write_text(text + "{}")
+    with pytest.raises(ValueError, match="one whole JSON object"):
+        run(scenario)
