--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -8,7 +8,7 @@
 
 from mothgap.interface import Count, Counted, Effect, ListKind, Member, Result, Send, State
 from mothgap.rules import _Server
-from mothgap.subset import SERVERS_MOST
+from mothgap.subset import SERVERS_LEAST, SERVERS_MOST
 from tests.helpers import (
     CEILING, CUSTOMER, KEYED, MS, ONCE, REPEATABLE, SECOND, SETTINGS, START, Driver, kinds, line,
 )  # fmt: skip
@@ -90,6 +90,16 @@
     assert 0 < len(seen) <= most < 1.5 * SERVERS_MOST
 
 
+@pytest.mark.parametrize("servers", [84, 100, 200])
+def test_gateways_of_a_large_fleet_keep_to_eight_servers_in_the_mean(servers: int) -> None:
+    sizes = []
+    for index in range(200):
+        driver = Driver(replace(NO_COUNTER, index=index), servers=0)
+        driver.members(*lines(servers), kind=ListKind.CACHED)
+        sizes.append(len(driver.gateway._ready))
+    assert SERVERS_LEAST <= sum(sizes) / len(sizes) <= 1.03 * SERVERS_LEAST
+
+
 def test_a_crowded_counter_is_called_for_fewer_requests_and_for_all_again_once_it_keeps_up() -> None:
     asked = 0
     for seed in range(10):  # where the share is left by the crowd is chance
