--- a/fleetbench/cli.py
+++ b/fleetbench/cli.py
@@ -4,6 +4,8 @@
 
 import click
 
+from fleetbench.hollow_experiments import COMMANDS as HOLLOW_COMMANDS
+
 
 @click.group()
 @click.version_option(package_name="lynxreel")
@@ -11,5 +13,9 @@
     """Measure rushroad's gateways against stand-ins on loopback, and whole fleets of hollow ones."""
 
 
+for command in HOLLOW_COMMANDS:
+    main.add_command(command)
+
+
 if __name__ == "__main__":
     main()
