--- /dev/null
+++ b/fleetbench/stand_ins/replies.py
@@ -0,0 +1,36 @@
+"""Answers in the order of the commands on a connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+
+class Reply:
+    """The place of one answer in a connection's order; its text, once it is ready."""
+
+    __slots__ = ("text",)
+
+    def __init__(self) -> None:
+        self.text: bytes | None = None
+
+
+class Replies:
+    """Writes each answer when it is ready and all before it have been written."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._queue: deque[Reply] = deque()
+
+    def place(self) -> Reply:
+        """The next command's place."""
+        reply = Reply()
+        self._queue.append(reply)
+        return reply
+
+    def fill(self, reply: Reply, text: bytes) -> None:
+        """An answer is ready."""
+        reply.text = text
+        while self._queue and (ready := self._queue[0].text) is not None:
+            self._queue.popleft()
+            self._transport.write(ready)
