--- a/fleetbench/real_experiments.py
+++ b/fleetbench/real_experiments.py
@@ -203,7 +203,7 @@
             pings.order({"do": "stall"})
             began = now.fleet.cpu()
             if count:
-                now.stand_ins.order({"do": "remove", "count": count})
+                row[f"used_gone_{name}"] = now.stand_ins.order({"do": "remove", "count": count})["used"]
             now.fleet.wait(after)
             row[f"stall_{name}_ms"] = pings.order({"do": "stall"})["longest_s"] * 1e3
             row[f"cpu_{name}_s"] = now.fleet.cpu() - began
--- a/fleetbench/stand_ins/__main__.py
+++ b/fleetbench/stand_ins/__main__.py
@@ -45,7 +45,7 @@
         """One order; its answer. KeyError or ValueError where there is no such order."""
         match order["do"]:
             case "remove":
-                return {"gone": len(self.discovery.remove(order["count"]))}
+                return self._remove(order["count"])
             case "roll":
                 self.discovery.roll(order["per_s"])
             case "silence":
@@ -62,6 +62,12 @@
                 raise ValueError(f"no order {unknown!r}")
         return {}
 
+    def _remove(self, count: int) -> dict[str, Any]:
+        """Half of the servers that have had attempts go first, so that a gateway must leave what it uses."""
+        used = [server for server, _ in self.servers.attempts_at.most_common()]
+        gone = self.discovery.remove(count, used[: (len(used) + 1) // 2])
+        return {"gone": len(gone), "used": len(set(gone) & set(used))}
+
 
 async def serve() -> None:
     """Stand in until the input ends."""
--- a/fleetbench/stand_ins/discovery.py
+++ b/fleetbench/stand_ins/discovery.py
@@ -7,7 +7,7 @@
 import random
 import time
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, cast
 from urllib.parse import parse_qs, urlsplit
 
@@ -184,9 +184,10 @@
         self._gone(self._unsaid)
         self._unsaid = []
 
-    def remove(self, count: int) -> list[int]:
-        """So many entries, the first of the list, are gone in one message; returns the servers' numbers."""
-        numbers = list(self._entries)[:count]
+    def remove(self, count: int, first: Iterable[int] = ()) -> list[int]:
+        """So many entries are gone in one message: these first, then the list's; returns their numbers."""
+        order = dict.fromkeys(number for number in (*first, *self._entries) if number in self._entries)
+        numbers = list(order)[:count]
         self._change(numbers, [])
         return numbers
 
--- a/fleetbench/stand_ins/rate_servers.py
+++ b/fleetbench/stand_ins/rate_servers.py
@@ -92,6 +92,7 @@
         self.loop, self.work, self._reports = loop, work, reports
         self.figures: Counter[str] = Counter()
         self.open = 0  # connections
+        self.attempts_at: Counter[int] = Counter()  # by server
         self._gone: dict[int, float] = {}  # server: when it was told as gone
         self._listener: asyncio.Server
         self._port = 0
@@ -119,6 +120,7 @@
     def count_attempt(self, server: int) -> None:
         """A whole command has come."""
         self.figures["attempts"] += 1
+        self.attempts_at[server] += 1
         gone = self._gone.get(server)
         if gone is not None and self.loop.time() - gone > LATE:
             self.figures["late"] += 1
--- a/tests/test_fleetbench_real.py
+++ b/tests/test_fleetbench_real.py
@@ -65,6 +65,8 @@
 def test_requests_are_served_through_a_burst_of_changes() -> None:
     row = measure_changes(Scene(size_of("3/60"), rate=50.0, work_ms=1.0), burst=4_042, after=0.5)
     assert (row["burst"], row["requests"], row["served"], row["wrong"]) == (30, 100, 100, 0)
+    assert row["used_gone_one"] == 1
+    assert int(row["used_gone_burst"]) > 0
 
 
 def test_the_counter_is_called_and_changes_are_told_while_the_list_rolls() -> None:
