--- a/tests/test_fleetbench_real.py
+++ b/tests/test_fleetbench_real.py
@@ -99,3 +99,15 @@
     with pytest.raises(OverBounds), time_limit(0.01):
         signal.pause()
     assert signal.getsignal(signal.SIGALRM) is handler
+
+
+def test_a_gateway_that_does_not_start_makes_a_row_with_its_log_and_an_exit_code(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    deploy = tmp_path / "deploy.toml"
+    deploy.write_text('run = "echo no such gateway; exit 3"')
+    monkeypatch.setattr("fleetbench.gateways.DEPLOY_FILE", deploy)
+    done = CliRunner().invoke(main, ["demo", "--size", "1/3"])
+    assert done.exit_code == 1
+    (line,) = [line for line in done.stdout.splitlines() if line.startswith("{")]
+    assert json.loads(line)["rows"][0]["error"] == "gateway 0 ended with 3: no such gateway\n"
