--- a/fleetbench/hollow.py
+++ b/fleetbench/hollow.py
@@ -399,12 +399,14 @@
     def start_background(self, holders: Holders, reach: Holders | None = None) -> None:
         """Draw the work of the gateways that are not emulated, at the servers of those that are.
 
+        A server gets it in proportion to its speed, as from gateways that find out what each can take.
         `reach`: who may send to a server later on, if that can be more gateways than `holders` tells.
         """
+        whole = self.size.rate * self.size.gateways / sum(server.speed for server in self.servers.values())
         for server in self.servers.values():
             those = holders(server.name)
             here = sum(index in self.gateways for index in those)
-            rate = self.size.rate * self.size.gateways / self.size.servers * (1 - here / len(those))
+            rate = whole * server.speed * (1 - here / len(those))
             if rate > 0 and any(index in self.gateways for index in (reach or holders)(server.name)):
                 server.background(rate)
 
