--- a/fleetbench/real_experiments.py
+++ b/fleetbench/real_experiments.py
@@ -28,6 +28,7 @@
 TENANTS = "1000,10000,100000,360000"
 SERVERS = "60,2000,20000,97000"
 PEAK_RATE = 173.0  # requests a second at a gateway at the coming peak
+MANY_RATE = 800.0  # requests a second at a gateway: under half of a core, and many customers in a short time
 SPREAD = 3  # gateways that a customer comes through, where the fleet has so many
 PATIENCE_MS = 10_000  # of a client for a request; the class's deadline
 SETTLE_S = 1.0  # seconds after the start before anything is measured
@@ -357,8 +358,8 @@
 @click.command("cost-by-tenants")
 @click.option("--tenants", default=TENANTS, show_default=True, help="Customers, with commas.")
 @size_option
-@rate_option
-@seconds_option
+@click.option("--rate", default=MANY_RATE, show_default=True, help="Requests/s at each gateway.")
+@click.option("--seconds", default=30.0, show_default=True, help="Of requests, for each row.")
 @work_option
 @gateways_option
 @seed_option
