--- a/fleetbench/hollow_experiments.py
+++ b/fleetbench/hollow_experiments.py
@@ -22,7 +22,7 @@
 from fleetbench.report import Cell, Run, fit
 from mothgap.interface import ListKind, Member, Members, SetTimer, State, Timer
 from mothgap.rules import Gateway
-from mothgap.subset import picks, sharers
+from mothgap.subset import holders, sharers
 
 SIZES_COST = "3/40,200/40,30/200,200/200,100/2000,400/8000,4900/97000"
 SIZES_SPREAD = "10/40,30/12,200/200,400/2000,1000/20000,4900/97000"
@@ -151,7 +151,7 @@
     share = sharers(size.gateways, size.servers)
     if share >= size.gateways:
         return lambda name: range(size.gateways)
-    return lambda name: picks(name, size.gateways, share)
+    return lambda name: holders(name, size.gateways, share)
 
 
 def subsets(gateways: int, names: Sequence[str]) -> list[set[str]]:
@@ -200,7 +200,7 @@
 
 
 def _next_step(size: Size, here: Sequence[set[str]]) -> dict[str, Cell]:
-    """The next smaller list at which each server has another number of gateways, and what that changes.
+    """The next smaller list at which some servers have one gateway more, and what that changes.
 
     The servers that stay are the same: only members that come or go with the share count. 0: there is none.
     """
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -709,8 +709,8 @@
                 best, least = server, cost
         return best
 
-    def _sharers(self) -> int:
-        """Gateways that share a server with this one."""
+    def _sharers(self) -> float:
+        """Gateways that share a server, this one among them."""
         return self._roster.share or self._s.fleet_size
 
     def _fill_up(self, suspects: int) -> None:
--- a/mothgap/subset.py
+++ b/mothgap/subset.py
@@ -1,9 +1,9 @@
 """Which rate servers a gateway keeps to: a bounded, stable part of the list, the same after a restart. Pure.
 
 Deterministic subsetting by hash, from the side of the servers: each draws, by a hash of its name, gateways to
-share it. So all servers have the same number of gateways; a gateway judges an entry by that entry alone, in
-constant time; and a server that joins or leaves changes only the subsets that hold it, by that server alone.
-A draw at or over the number of gateways is passed over: a fleet that grows by one moves one draw in as many.
+share it. So all servers have the same number of gateways, but for one; a gateway judges an entry by the entry
+alone, in constant time; and a server that joins or leaves changes only the subsets that hold it, by itself
+alone. A draw at or over the number of gateways is passed over: a fleet that grows by one moves few draws.
 """
 
 from __future__ import annotations
@@ -17,18 +17,29 @@
 from mothgap.interface import ListKind, Member, Members, State
 
 SERVERS_LEAST = 8  # servers a gateway, where there are so many: fewer are too easily bad together
-SERVERS_MOST = 64  # servers a gateway, as long as each has SHARERS_LEAST: a choice looks at them all
+SERVERS_MOST = 56  # servers a gateway, as long as each has SHARERS_LEAST: a choice looks at them all
 SHARERS_LEAST = 3  # gateways a server: two may be down and it still gets requests
 SHARERS_FEW = 8  # gateways a server that cost it little; fleets of up to so many keep all their servers
+SHARE_STEP = 0.125  # of a gateway; with it few servers gain or lose one when the list grows or shrinks
+PART_SEED = 0xFFFF  # of the hash by which a server has one gateway more; beyond those that draws use
 TRIES = 8  # entries looked at for one from outside; where most of the list is good, nearly always one is
 
 
-def sharers(gateways: int, servers: int) -> int:
-    """How many gateways share each of the ready servers; all of them where the fleet is small."""
+def sharers(gateways: int, servers: int) -> float:
+    """How many gateways share a ready server in the mean; all of them where the fleet is small."""
     if servers <= 0:
         return gateways
-    least = min(SHARERS_FEW, max(SHARERS_LEAST, round(SERVERS_MOST * gateways / servers)))
-    return min(gateways, max(least, math.ceil(SERVERS_LEAST * gateways / servers)))
+    least = min(SHARERS_FEW, max(SHARERS_LEAST, SERVERS_MOST * gateways / servers))
+    share = max(least, SERVERS_LEAST * gateways / servers)
+    return min(gateways, math.ceil(share / SHARE_STEP) * SHARE_STEP)
+
+
+def holders(name: str, gateways: int, share: float) -> list[int]:
+    """The gateways, by index, that share a server: in the mean `share` of them, at some one more."""
+    count = int(share)
+    if share > count:
+        count += xxhash.xxh3_64_intdigest(name.encode(), PART_SEED) < (share - count) * (1 << 64)
+    return picks(name, gateways, count)
 
 
 def picks(name: str, gateways: int, count: int) -> list[int]:
@@ -58,7 +69,7 @@
         self._unnamed: set[str] = set()  # what the whole list that is being told has not named so far
         self._cells: dict[int, dict[str, None]] | None = {} if cells else None  # names by cell, if it matters
         self.ready = 0
-        self.share = 0  # gateways that share a server; 0 before the first whole list
+        self.share = 0.0  # gateways that share a server, in the mean; 0 before the first whole list
 
     def take(self, event: Members) -> list[Member]:
         """Take news in; the entries that are new or have changed, those that are gone among them."""
@@ -113,7 +124,7 @@
         """It is in this gateway's subset."""
         if self.share >= self._gateways:
             return True
-        return self.share > 0 and self._index in picks(line.server, self._gateways, self.share)
+        return self.share > 0 and self._index in holders(line.server, self._gateways, self.share)
 
     def expected(self) -> float:
         """Servers that are ready, in the mean of all gateways' subsets."""
