--- a/tests/test_fleetbench_real.py
+++ b/tests/test_fleetbench_real.py
@@ -49,7 +49,10 @@
             assert demo.poll() is None
             found = bench.children(recursive=True)
         demo.send_signal(number)
-        demo.communicate(timeout=60)
+        try:
+            demo.communicate(timeout=60)
+        finally:
+            demo.kill()  # one that goes on fails the test, and holds up no other
         assert demo.returncode != 0
     _, left = psutil.wait_procs(found, timeout=60)
     assert left == []
