--- /dev/null
+++ b/tests/faults.c
@@ -0,0 +1,118 @@
+/* A library for LD_PRELOAD that lets system calls of one gateway fail, and moves its wall clock.
+
+   FAULTS: rules with commas between them, each `CALL:ERRNO:FIRST:LAST:EVERY`: of the calls numbered FIRST to
+   LAST, from 1, every EVERY-th fails with this error number. Only calls on IPv4 sockets count; `open` counts
+   files for reading whose name ends in FAULTS_FILE, `epoll_wait` all waits. accept counts connections that are there.
+   FAULTS_AT: the rules hold only while this file exists.
+   CLOCK_STEP: seconds by which CLOCK_REALTIME is moved. */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+#define REAL(f) ((__typeof__(&f))dlsym(RTLD_NEXT, #f))
+#define MOST_RULES 32
+
+static struct rule { char call[16]; unsigned error, first, last, every, seen; } rules[MOST_RULES];
+static unsigned count;
+
+__attribute__((constructor)) static void read_rules(void) {
+  const char *at = getenv("FAULTS");
+  for (; at && *at && count < MOST_RULES; at = strchr(at, ',') ? strchr(at, ',') + 1 : "") {
+    struct rule *r = &rules[count];
+    if (sscanf(at, "%15[^:]:%u:%u:%u:%u", r->call, &r->error, &r->first, &r->last, &r->every) == 5) count++;
+    else abort();
+  }
+}
+
+static int fails(const char *call) {
+  const char *switched = getenv("FAULTS_AT");
+  if (switched && access(switched, F_OK)) return 0;
+  for (unsigned i = 0; i < count; i++)
+    if (!strcmp(rules[i].call, call)) {
+      unsigned n = ++rules[i].seen;
+      if (n >= rules[i].first && n <= rules[i].last && (n - rules[i].first) % rules[i].every == 0) {
+        errno = (int)rules[i].error;
+        return 1;
+      }
+    }
+  return 0;
+}
+
+static int is_inet(int fd) {
+  int domain = 0;
+  socklen_t size = sizeof domain;
+  int before = errno, got = count ? REAL(getsockopt)(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) : -1;
+  errno = before;
+  return got == 0 && domain == AF_INET;
+}
+
+int socket(int domain, int type, int protocol) {
+  return domain == AF_INET && fails("socket") ? -1 : REAL(socket)(domain, type, protocol);
+}
+int bind(int fd, const struct sockaddr *a, socklen_t l) { return is_inet(fd) && fails("bind") ? -1 : REAL(bind)(fd, a, l); }
+int listen(int fd, int backlog) { return is_inet(fd) && fails("listen") ? -1 : REAL(listen)(fd, backlog); }
+int connect(int fd, const struct sockaddr *a, socklen_t l) { return is_inet(fd) && fails("connect") ? -1 : REAL(connect)(fd, a, l); }
+int accept4(int fd, struct sockaddr *a, socklen_t *l, int flags) {
+  struct pollfd p = {fd, POLLIN, 0};
+  if (count && REAL(poll)(&p, 1, 0) == 1 && fails("accept")) return -1;
+  return REAL(accept4)(fd, a, l, flags);
+}
+int accept(int fd, struct sockaddr *a, socklen_t *l) { return accept4(fd, a, l, 0); }
+int shutdown(int fd, int how) { return is_inet(fd) && fails("shutdown") ? -1 : REAL(shutdown)(fd, how); }
+int setsockopt(int fd, int level, int name, const void *v, socklen_t l) {
+  return is_inet(fd) && fails("setsockopt") ? -1 : REAL(setsockopt)(fd, level, name, v, l);
+}
+int getsockname(int fd, struct sockaddr *a, socklen_t *l) { return is_inet(fd) && fails("getsockname") ? -1 : REAL(getsockname)(fd, a, l); }
+ssize_t read(int fd, void *b, size_t n) { return is_inet(fd) && fails("read") ? -1 : REAL(read)(fd, b, n); }
+ssize_t recv(int fd, void *b, size_t n, int f) { return is_inet(fd) && fails("read") ? -1 : REAL(recv)(fd, b, n, f); }
+ssize_t recvmsg(int fd, struct msghdr *m, int f) { return is_inet(fd) && fails("read") ? -1 : REAL(recvmsg)(fd, m, f); }
+ssize_t write(int fd, const void *b, size_t n) { return is_inet(fd) && fails("write") ? -1 : REAL(write)(fd, b, n); }
+ssize_t writev(int fd, const struct iovec *v, int n) { return is_inet(fd) && fails("write") ? -1 : REAL(writev)(fd, v, n); }
+ssize_t send(int fd, const void *b, size_t n, int f) { return is_inet(fd) && fails("write") ? -1 : REAL(send)(fd, b, n, f); }
+ssize_t sendmsg(int fd, const struct msghdr *m, int f) { return is_inet(fd) && fails("write") ? -1 : REAL(sendmsg)(fd, m, f); }
+int epoll_ctl(int e, int op, int fd, struct epoll_event *v) { return is_inet(fd) && fails("epoll_ctl") ? -1 : REAL(epoll_ctl)(e, op, fd, v); }
+int epoll_wait(int e, struct epoll_event *v, int n, int t) { return fails("epoll_wait") ? -1 : REAL(epoll_wait)(e, v, n, t); }
+int epoll_pwait(int e, struct epoll_event *v, int n, int t, const sigset_t *s) {
+  return fails("epoll_wait") ? -1 : REAL(epoll_pwait)(e, v, n, t, s);
+}
+int poll(struct pollfd *p, nfds_t n, int t) { return fails("poll") ? -1 : REAL(poll)(p, n, t); }
+
+static int is_watched(const char *name) {
+  const char *ending = getenv("FAULTS_FILE");
+  size_t have = strlen(name), want = ending ? strlen(ending) : have + 1;
+  return want <= have && !strcmp(name + have - want, ending);
+}
+int open(const char *name, int flags, ...) {
+  va_list more;
+  va_start(more, flags);
+  mode_t mode = flags & (O_CREAT | O_TMPFILE) ? va_arg(more, mode_t) : 0;
+  va_end(more);
+  return is_watched(name) && fails("open") ? -1 : REAL(open)(name, flags, mode);
+}
+int open64(const char *name, int flags, ...) {
+  va_list more;
+  va_start(more, flags);
+  mode_t mode = flags & (O_CREAT | O_TMPFILE) ? va_arg(more, mode_t) : 0;
+  va_end(more);
+  return is_watched(name) && fails("open") ? -1 : REAL(open64)(name, flags, mode);
+}
+
+static long step(void) {
+  const char *seconds = getenv("CLOCK_STEP");
+  return seconds ? atol(seconds) : 0;
+}
+int clock_gettime(clockid_t id, struct timespec *t) {
+  int got = REAL(clock_gettime)(id, t);
+  if (!got && id == CLOCK_REALTIME) t->tv_sec += step();
+  return got;
+}
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,52 @@
+"""The log: lines may be lost, requests not."""
+
+import asyncio
+import fcntl
+import os
+import signal
+from pathlib import Path
+
+from tests.net import run
+from tests.world import World, call
+
+PIPE_BYTES = 4_096
+LINES = 120  # more than such a pipe holds
+BAD_LINE = b"the new configuration can't be read"
+
+
+async def read_all(descriptor: int, until: bytes) -> bytes:
+    """What a pipe holds and gets until these words have come."""
+    got = b""
+    os.set_blocking(descriptor, False)
+    async with asyncio.timeout(5.0):
+        while until not in got:
+            try:
+                got += os.read(descriptor, 1 << 16)
+            except BlockingIOError:
+                await asyncio.sleep(0.01)
+    return got
+
+
+def test_a_reader_of_the_log_that_stops_does_not_stop_the_gateway(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        reader, writer = os.pipe()
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+        async with World(tmp_path, servers=2, stderr=writer) as world:
+            process = world.start()
+            os.close(writer)
+            await world.ready()
+            client = await world.connect()
+            world.file(0).write_text("{nope")
+            for request in range(1, LINES):
+                process.send_signal(signal.SIGHUP)
+                client.writer.write(call(request, 2_000))
+                async with asyncio.timeout(2.0):
+                    assert await client.answer() == b"%016x" % request
+                if request % 20 == 0:
+                    await asyncio.sleep(1.0)  # so many lines may come in each second
+            log = await read_all(reader, b"dropped")
+            assert BAD_LINE in log
+            assert await world.stop() == 0
+        os.close(reader)
+
+    run(scenario)
