Count a client's time from when its command came, not from when it is taken

Each command now carries the time at which its last byte came (lynxreel/arrivals.py); a full connection is read on for 8 KiB, and what is read after a pause counts from the pause's beginning.

Two tests of the engine compare times exactly: they now hold still the clock that tells how long a command waited.

--- a/lynxreel/clients.py
+++ b/lynxreel/clients.py
@@ -14,6 +14,7 @@
 from typing import cast
 
 from lynxreel import resp
+from lynxreel.arrivals import Arrivals
 from lynxreel.gateway import Engine
 from mothgap.interface import Effect, Settings
 from mothgap.settings import Names
@@ -27,7 +28,8 @@
 LINGER = 0.3  # seconds that a stop leaves the other end to close, which then has read all answers
 LEFT_OVER = 256 * 1024  # bytes read after the last answer: unread ones would reset what was answered before
 LOOK = 0.03  # seconds between looks for clients that left connections which are not read; 0.1 are allowed
-MOST_OPEN = 64  # commands of one connection that wait for their answers; more are not read yet
+MOST_OPEN = 64  # commands of one connection that wait for their answers; more are not taken yet
+READ_AHEAD = 8 * 1024  # bytes of commands that wait to be taken; of more, when they came is not known so well
 TURN = 64  # commands taken from one connection before others have their turn
 PAUSE = 0.05  # seconds without reading after a command that is no call: repeats must not take the others' CPU
 PATIENCE = 2.0  # seconds for a first command, for the rest of one, and for reading the answers
@@ -74,11 +76,12 @@
 class Call:
     """One command of a client, from its reading to its answer."""
 
-    __slots__ = ("cls", "connection", "customer", "first", "id", "patience", "plan", "reply", "request",
-                 "retry", "spread", "units", "words")  # fmt: skip
+    __slots__ = ("arrived", "cls", "connection", "customer", "first", "id", "patience", "plan", "reply",
+                 "request", "retry", "spread", "units", "words")  # fmt: skip
 
-    def __init__(self, connection: Connection) -> None:
+    def __init__(self, connection: Connection, arrived: float) -> None:
         self.connection = connection
+        self.arrived = arrived  # when its last byte came, at the latest; seconds of the loop's clock
         self.reply: bytes | None = None
         self.request = 0  # the engine's number for it; 0 where the engine never saw it
         self.words: list[bytes] = []
@@ -142,12 +145,14 @@
 class Connection(asyncio.Protocol):
     """One client connection."""
 
-    FULL, PACED, UNREAD = 1, 2, 4  # why it is not read for now
+    FULL, PACED, UNREAD = 1, 2, 4  # why nothing is taken from it for now
 
     def __init__(self, clients: Clients) -> None:
         self._clients = clients
         self._reader = resp.Reader(MOST_WORDS)
+        self._arrivals = Arrivals()
         self._holds = 0
+        self._paused = False  # it is not read
         self._ending = False  # nothing more is taken; ended once all is answered
         self._fresh = True  # nothing has come on it yet
         self._left_over = 0  # bytes that came after it was ended
@@ -165,8 +170,12 @@
         """Read what is whole; keep the rest, within bounds."""
         self._fresh = False
         if not self._ending:
+            self._arrivals.came(len(data), self._clients.loop.time())
             self._reader.feed(data)
-            self._read()
+            if not self._holds:
+                self._read()
+            elif self._reader.waiting > READ_AHEAD:
+                self._pause()
             return
         self._left_over += len(data)
         if self._left_over > LEFT_OVER:
@@ -201,7 +210,7 @@
 
     def _take(self, words: list[bytes]) -> bool:
         """One command; false where it is none that is known."""
-        call = Call(self)
+        call = Call(self, self._arrivals.of(self._reader.consumed))
         self.queue.append(call)
         self._clients.idle.pop(self, None)
         try:
@@ -228,7 +237,8 @@
         self._ending = True
         self._reader = resp.Reader(MOST_WORDS)
         self._hold(self.FULL)
-        call = Call(self)
+        self._pause()
+        call = Call(self, self._clients.loop.time())
         call.reply = b"-ERR %b\r\n" % why.encode()
         self.queue.append(call)
         self.flush()
@@ -249,20 +259,33 @@
             self._release(self.FULL)
 
     def _hold(self, why: int) -> None:
-        if not self._holds and not self.transport.is_closing():
+        """Take nothing for now. Only one that is full is still read, so that it shows when commands came."""
+        self._holds |= why
+        if self._holds & ~self.FULL or self._reader.waiting > READ_AHEAD:
+            self._pause()
+
+    def _pause(self) -> None:
+        if not self._paused and not self.transport.is_closing():
+            self._paused = True
+            self._arrivals.paused(self._clients.loop.time())
             self.transport.pause_reading()
             self._clients.watch(self)
-        self._holds |= why
+
+    def _resume(self) -> None:
+        if self._paused:
+            self._paused = False
+            self._arrivals.resumed(self._clients.loop.time())
+            self._clients.unwatch(self)
+            self.transport.resume_reading()
 
     def _release(self, why: int) -> None:
-        """One reason less not to read; what has come meanwhile is first."""
+        """One reason less to take nothing; what has come meanwhile is first."""
         self._holds &= ~why
         if self._ending or self._holds or self.transport.is_closing() or self.has_left():
             return
-        self._clients.unwatch(self)
         self._read()
         if not self._holds and not self._ending:
-            self.transport.resume_reading()
+            self._resume()
 
     def end(self, patient: bool = True) -> None:
         """Once nothing is owed and, for the patient, nothing is under way: say that no more answers come.
@@ -279,10 +302,8 @@
             self._clients.idle.pop(self, None)
             self._clients.wait_for(self, again=True)
             self.transport.write_eof()
-            if self._holds:
-                self._holds = 0
-                self._clients.unwatch(self)
-                self.transport.resume_reading()
+            self._holds = 0
+            self._resume()
 
     def cut(self) -> None:
         """Close at once."""
--- a/lynxreel/gateway.py
+++ b/lynxreel/gateway.py
@@ -22,6 +22,7 @@
     """A client's request, as the engine sees it."""
 
     id: bytes
+    arrived: float  # when its last byte came; seconds of the monotonic clock, which the loop's is
     cls: int
     plan: int
     customer: int
@@ -134,7 +135,9 @@
         self._taken.add(call.id)
         request = next(self._ids)
         # Nobody waits for longer than the class's deadline, whatever a client says.
-        left = max(0, min(call.patience * 1_000, self._settings.classes[call.cls].deadline) - WAY)
+        patience = min(call.patience * 1_000, self._settings.classes[call.cls].deadline)
+        waited = max(0, int((time.monotonic() - call.arrived) * 1e6))
+        left = max(0, patience - WAY - waited)
         deadline = self._loop.call_later((left + LATE) / 1e6, self._outlived, request)
         self._open[request] = Open(call, self.clock.now() + left, deadline)
         extras = (call.units, left, call.spread, call.first, call.retry)
--- a/lynxreel/resp.py
+++ b/lynxreel/resp.py
@@ -28,11 +28,12 @@
     An item that is whole but no string (null, a number, a line) is given as None.
     """
 
-    __slots__ = ("_answers", "_at", "_bytes", "_data", "_items", "_length", "_missing", "_most")
+    __slots__ = ("_answers", "_at", "_before", "_bytes", "_data", "_items", "_length", "_missing", "_most")
 
     def __init__(self, most: int, answers: bool = False) -> None:
         self._most, self._answers = most, answers
         self._data, self._at = b"", 0  # what has come, and how much of it has been read
+        self._before = 0  # bytes that were read before those
         self._items: list[bytes | None] = []
         self._missing = 0  # items of the array at hand that have not come
         self._length = -1  # of the string at hand; -1 before it is known
@@ -40,6 +41,7 @@
 
     def feed(self, data: bytes) -> None:
         """Take what has come."""
+        self._before += self._at
         self._data = self._data[self._at :] + data if self._at < len(self._data) else data
         self._at = 0
 
@@ -47,6 +49,16 @@
         """True between messages, with nothing behind the last."""
         return self._at >= len(self._data) and not self._missing
 
+    @property
+    def consumed(self) -> int:
+        """Bytes that have been read, from the first that came; after a message, its end."""
+        return self._before + self._at
+
+    @property
+    def waiting(self) -> int:
+        """Bytes that have come and have not been read."""
+        return len(self._data) - self._at
+
     def next(self) -> list[bytes | None] | bytes | None:
         """The next message: an array, or an error line without its first byte; None until more has come."""
         if not self._missing:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import re
+import time
 import typing
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
@@ -46,6 +48,12 @@
         self.engine.post(api.Counted(name, api.Result.OK, 0, amount))
 
 
+def no_time_passes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """For the engine, between a command's arrival and its taking."""
+    clocks = SimpleNamespace(monotonic=lambda: 0.0, time_ns=time.time_ns, monotonic_ns=time.monotonic_ns)
+    monkeypatch.setattr(gateway, "time", clocks)
+
+
 def play(
     monkeypatch: pytest.MonkeyPatch,
     script: Script,
@@ -77,6 +85,8 @@
 
 
 def test_a_served_request_goes_there_and_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    no_time_passes(monkeypatch)
+
     async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
         reader, writer = ends
         writer.write(call(1))
@@ -237,6 +247,7 @@
     id = b"1"
     cls = plan = customer = first = 0
     units, patience, spread, retry = 1.0, 1_000, 1, False
+    arrived = time.monotonic()
 
 
 def test_news_goes_before_requests_that_were_queued_earlier(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -328,6 +339,8 @@
 
 
 def test_a_patience_beyond_the_deadline_of_the_class_is_cut_to_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    no_time_passes(monkeypatch)
+
     async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
         ends[1].write(call(1, b"c=lookup,t=basic,d=999999999"))
         await peer.answer(OK)
--- a/tests/test_time_told.py
+++ b/tests/test_time_told.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lynxreel.arrivals import DRAIN, LARGE, Arrivals
 from tests.net import run
 from tests.world import World, call
 
@@ -13,25 +14,49 @@
 PATIENCE_MS = 1_500
 
 
-@pytest.mark.parametrize("work", [0.4, 0.1])
+@pytest.mark.parametrize(("commands", "work"), [(200, 0.4), (200, 0.1), (3_000, 0.02)])
 def test_of_many_commands_at_once_none_is_told_more_time_than_its_client_has(
-    tmp_path: Path, work: float
+    tmp_path: Path, commands: int, work: float
 ) -> None:
     async def scenario() -> None:
         async with World(tmp_path, work=work) as world:
             world.start()
             await world.ready()
             client, loop = await world.connect(), asyncio.get_running_loop()
-            client.writer.write(b"".join(call(number, PATIENCE_MS, customer=number) for number in range(200)))
+            numbers = range(commands)
+            client.writer.write(b"".join(call(number, PATIENCE_MS, customer=number) for number in numbers))
             sent = loop.time()
             answered = []
-            for _ in range(200):
+            for _ in numbers:
                 assert await client.answer()
                 answered.append(loop.time() - sent)
             attempts = world.attempts()
-            assert len(attempts) > 40
+            assert len(attempts) > 40, len(attempts)
             over = [a.at + a.told / 1e3 - sent - PATIENCE_MS / 1e3 for a in attempts]
             assert max(over) <= SLACK
             assert max(answered) <= PATIENCE_MS / 1e3 + LATE
 
     run(scenario)
+
+
+def test_what_is_read_after_a_pause_counts_from_its_beginning() -> None:
+    arrivals = Arrivals()
+    arrivals.came(10, 1.0)
+    arrivals.paused(2.0)
+    arrivals.resumed(5.0)
+    arrivals.came(10, 5.0)
+    arrivals.paused(5.01)  # the rest of it still waits
+    arrivals.resumed(6.0)
+    arrivals.came(LARGE, 6.0 + DRAIN)
+    arrivals.came(10, 6.0 + 2 * DRAIN)  # the system held more than was read at once
+    arrivals.came(10, 6.1 + 2 * DRAIN)
+    ends = [10, 20, 20 + LARGE, 30 + LARGE, 40 + LARGE]
+    assert [arrivals.of(end) for end in ends] == [1.0, 2.0, 2.0, 2.0, 6.1 + 2 * DRAIN]
+
+
+def test_one_that_sends_byte_by_byte_fills_no_memory() -> None:
+    arrivals = Arrivals()
+    for number in range(10_000):
+        arrivals.came(1, number * 1e-4)
+    assert len(arrivals._marks) <= 201
+    assert arrivals.of(10_000) <= 1.0
