Judge how cold a server is by when its start was heard of, not by the wall clock alone

A start was compared with this machine's wall clock (Clock.base, rules.py _is_cold): an hour ahead, a server that had just started counted as warm and got 27 of 200 requests; an hour behind, it stayed cold for an hour.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -26,6 +26,7 @@
     Members, Outcome, Plan, Refuse, Request, RequestClass, Result, Send, SetTimer, Settings, State, Timer,
     Watch,
 )  # fmt: skip
+from mothgap.clock import ClockLead
 from mothgap.subset import SHARERS_FEW, Roster
 
 SECOND = 1_000_000  # microseconds
@@ -248,6 +249,7 @@
         self._ready: list[_Server] = []  # those of the subset, and guests, that are ready
         self._kinds: dict[int, _Kind] = {}
         self._warm, self._warm_at = 0, now - NAME_LIFE  # warm ones among these, and when they were counted
+        self._lead = ClockLead()
         self._pooled: _Limit | None = None  # one limit for all, where many gateways share each server
         self._live, self._credit, self._credit_at = 0, 0.0, now  # attempts out; attempt-microseconds saved up
         self._mean_value = 1e-9  # running mean of worth for the work
@@ -800,7 +802,7 @@
             return True
         if server.guest:
             return False
-        age = max(0, self._now - server.line.started_at) / max(1, safety.cold_span)
+        age = max(0, self._lead.age(server.line.started_at, self._now)) / max(1, safety.cold_span)
         grown = safety.cold_from + (1 - safety.cold_from) * age
         pace = COLD_MARGIN * safety.fall_multiple * grown * self._warm_rate(server)
         server.cold_left = min(1.0, server.cold_left + pace * (self._now - server.cold_at) / SECOND)
@@ -840,7 +842,7 @@
         return server.answered_at <= since < self._now and owed >= SILENT_ANSWERS
 
     def _is_cold(self, line: Member) -> bool:
-        return line.started_at > 0 and self._now - line.started_at < self._s.safety.cold_span
+        return line.started_at > 0 and self._lead.age(line.started_at, self._now) < self._s.safety.cold_span
 
     # --- send -------------------------------------------------------------------------------------------
 
@@ -1057,6 +1059,7 @@
             return
         if event.kind is ListKind.CACHED and event.last and self._s.ask_for_list:
             self._out.append(Watch(True))
+        self._lead.hear(event, self._now)
         changed = self._roster.take(event)
         anew = (event.last or event.kind is ListKind.CHANGES) and self._roster.reshare()
         if anew:
@@ -1070,6 +1073,9 @@
             if not anew or line.server in self._servers:  # the look at all entries finds the others
                 self._update(line)
         self._refresh()
+        if event.last:
+            starts = [server.line.started_at for server in self._ready]
+            self._lead.check(starts, self._now, self._s.safety.cold_span)
 
     def _look_on(self) -> None:
         """The next part of the list, after its servers are shared by more or fewer gateways than before."""
