Let the counter's own forgetting begin a quota's window, and no machine's clock

The counts that gateways share were named by customer and window number, and the number came from the wall clock, so one gateway whose clock was wrong opened a second allowance: 23 and 24 units served where 13 were allowed (7 s and an hour off). A customer now has one name; its life on the counter is the window. mothgap/shared_count.py tells from its own adds and from when a life can be over that a new one has begun. The name of open requests likewise; a place given back into a new count is put back.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -27,6 +27,7 @@
     Watch,
 )  # fmt: skip
 from mothgap.clock import ClockLead
+from mothgap.shared_count import CHANCE, SharedCount
 from mothgap.subset import SHARERS_FEW, Roster
 
 SECOND = 1_000_000  # microseconds
@@ -67,6 +68,7 @@
 LIMIT_RAISE = 1.0  # attempts more, by all gateways, after as many timely answers as a server may hold
 LIMIT_CUT = 0.6  # what is left of a server's limit after an answer that came too late
 ABANDON_AIMS = 2.0  # aims after which a server that never answered has surely dropped an attempt given up
+CUSTOMER_SHIFT = 24  # bits of a count's name below the customer
 PLACE = 1 << 63  # marks the names of counts of open requests; names of units are below it
 PLACE_WINDOW = 8 * SECOND  # microseconds; a place whose giving back was lost is free again after that
 FULL_WAIT = 0.5  # of the mean time until a place is free again; so long a full customer is refused uncounted
@@ -80,19 +82,23 @@
 PACE_TRUST = 10.0  # own answers of a server at which its pace counts as much as the pace of its kind
 
 
+def _window_length(plan: Plan) -> int:
+    """Microseconds that a customer's count lives."""
+    return max(SECOND, min(NAME_LIFE // 2, int(WINDOW_BURSTS * plan.burst / plan.rate * SECOND))) \
+        if plan.rate > 0 else SECOND
+
+
 class _Customer:
     """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
 
     __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "full_until", "guess", "limit_at",
-                 "looks", "lost", "open", "over", "own", "owed", "rate", "seen_others", "seen_own",
-                 "short_at", "spare",
-                 "total", "window", "window_at")
+                 "looks", "lost", "open", "over", "owed", "rate", "seen_others", "seen_own",
+                 "short_at", "spare", "window")
 
     def __init__(self, plan: Plan, now: int) -> None:
         self.burst, self.rate, self.debt, self.at = plan.burst, plan.rate, 0.0, now
         self.spare = 0.0  # units refilled since the last total that found no debt here
-        self.window_at = now  # when the window began
-        self.window, self.total, self.own = -1, 0.0, 0.0  # window number, last total in it, own adds in it
+        self.window = SharedCount(_window_length(plan), now)
         self.looks, self.over = 0.0, 0.0  # decisions by total, and refusals among them, fading
         self.excess = 0.0  # units in the window's totals that found no room in the burst
         self.guess = 0.0  # part of `debt` that stands for others until the next total
@@ -105,6 +111,11 @@
         self.open = 0
         self.full_until = now  # until then no place is free, as the last count of open requests told
 
+    def leave_window(self) -> None:
+        """The count is a new one: it holds nothing of what was guessed, lost or beyond the quota before."""
+        self.guess, self.excess, self.lost = 0.0, 0.0, 0.0
+        self.owed = max(0.0, self.owed)  # this count never held what would be taken back
+
     def refill(self, now: int) -> None:
         """Move the debt on to now."""
         back = self.rate * (now - self.at) / SECOND
@@ -117,7 +128,7 @@
         Guards customers that come through many gateways: each of them sees the use of a whole window at once,
         and would take all of it for a debt of this moment. Harmless where a gateway looks often.
         """
-        spare = min(self.spare, self.rate * (now - self.window_at) / SECOND)
+        spare = min(self.spare, self.rate * (now - self.window.began()) / SECOND)
         self.spare = 0.0
         return min(max(0.0, others), REFILL_PART * spare)
 
@@ -432,14 +443,14 @@
         else:
             self._place_alone(job, plan)
 
-    def _place_name(self, customer_id: int) -> int:
-        number = (self._now + customer_id * 7919 % PLACE_WINDOW) // PLACE_WINDOW
-        return PLACE | customer_id << 24 | number & 0xFFFFFF
+    @staticmethod
+    def _place_name(customer_id: int) -> int:
+        return PLACE | customer_id << CUSTOMER_SHIFT
 
     def _add_place(self, name: int, customer: _Customer, amount: float, waiting: int | None) -> None:
         self._asked.setdefault(name, []).append(waiting)
         self._amounts.setdefault(name, []).append((customer, amount))
-        self._out.append(Count(name, amount, 2 * PLACE_WINDOW))
+        self._out.append(Count(name, amount, PLACE_WINDOW))
 
     def _place_alone(self, job: _Job, plan: Plan) -> None:
         """Exception: no count to be had. This gateway keeps to its own share of the cap."""
@@ -454,6 +465,9 @@
             self._failed = 0
         else:
             self._note_failure(event)
+        if amount < 0 and event.result is Result.OK and event.total < -CHANCE:
+            # The place was taken from a count that is forgotten: what this one lacks is put back.
+            self._add_place(event.name, customer, min(-amount, -event.total), None)
         if amount <= 0 or waiting is None:
             return
         job = self._jobs.get(waiting)
@@ -478,30 +492,21 @@
         if customer is not None and self._failed < BREAKER_TRIP:
             self._add_place(name, customer, -1.0, None)
 
-    def _window(self, customer_id: int, plan: Plan) -> tuple[int, int]:
-        """The customer's window number and its length; edges of different customers fall apart."""
-        length = max(SECOND, min(NAME_LIFE // 2, int(WINDOW_BURSTS * plan.burst / plan.rate * SECOND)))
-        return (self._now + customer_id * 7919 % length) // length, length
-
-    def _enter_window(self, job: _Job, plan: Plan) -> tuple[int, int]:
-        """The name of the customer's count now, and its window's length; a new window starts from nothing."""
-        number, length = self._window(job.request.customer, plan)
-        name = (job.request.customer << 24 | number & 0xFFFFFF) & 0xFFFFFFFFFFFFFFFF
-        if job.customer.window != name:
-            job.customer.window, job.customer.total, job.customer.own, job.customer.lost = name, 0.0, 0.0, 0.0
-            job.customer.window_at = self._now - (self._now + job.request.customer * 7919 % length) % length
-            job.customer.guess, job.customer.excess = 0.0, 0.0  # totals tell nothing of the time before
-            job.customer.owed = max(0.0, job.customer.owed)  # this count never held what would be taken back
-        return name, length
+    def _enter_window(self, job: _Job) -> int:
+        """The name of the customer's count. One whose life is over by now starts from nothing."""
+        if job.customer.window.over(self._now):
+            job.customer.window.begin(self._now)
+            job.customer.leave_window()
+        return job.request.customer << CUSTOMER_SHIFT
 
     def _count(self, job: _Job, plan: Plan, waiting: int | None, units: float) -> None:
         """Add to the customer's count of this window; `waiting` is the request that hangs on the total."""
-        name, length = self._enter_window(job, plan)
+        name = self._enter_window(job)
         # What has been refilled since is owed no more.
         units, job.customer.owed = units + min(job.customer.owed, job.customer.debt), 0.0
         self._asked.setdefault(name, []).append(waiting)
         self._amounts.setdefault(name, []).append((job.customer, units))
-        self._out.append(Count(name, units, min(NAME_LIFE, 2 * length)))
+        self._out.append(Count(name, units, _window_length(plan)))
 
     def _on_counted(self, event: Counted) -> None:
         waiting = self._asked[event.name].pop(0)
@@ -520,7 +525,7 @@
             return
         self._failed = 0
         customer.refill(self._now)
-        others = self._take_total(customer, event.name, amount, event.total)
+        others = self._take_total(customer, amount, event.total)
         if job is None or not job.held:
             customer.take(others)
             return
@@ -537,20 +542,15 @@
         else:
             self._end(job)
 
-    def _take_total(self, customer: _Customer, name: int, amount: float, total: float) -> float:
+    def _take_total(self, customer: _Customer, amount: float, total: float) -> float:
         """What a total tells of the others' use, beyond what has been guessed of it."""
-        if name != customer.window:
-            return 0.0
-        others = total - customer.total - amount
+        others, renewed = customer.window.hear(amount, total, self._now)
+        if renewed:
+            customer.leave_window()
         # Of the adds whose answers were lost this total can hold so much; the rest was not added.
         shown = min(max(others, 0.0), customer.lost) if customer.lost > 0 else customer.lost
         customer.owed += customer.lost - shown
-        customer.own, customer.lost, others = customer.own + amount, 0.0, others - shown
-        customer.total = total
-        if total < customer.own - 0.5:
-            # The count was lost: what this gateway remembers stays as the lower bound.
-            customer.own = amount
-            return 0.0
+        customer.lost, others = 0.0, others - shown
         customer.seen_own += amount + shown - SMOOTH * customer.seen_own
         customer.seen_others += others - SMOOTH * customer.seen_others
         guess, customer.guess = customer.guess, 0.0
@@ -563,12 +563,11 @@
         against a view that grows old where most calls are late. Harmless where a total comes out of order:
         the next one puts it right.
         """
-        customer = self._customers.get(event.name >> 24)
-        if customer is not None and event.name == customer.window:
+        customer = self._customers.get(event.name >> CUSTOMER_SHIFT)
+        if customer is not None and not customer.window.over(self._now):
             customer.lost -= event.amount
-            customer.own -= min(0.0, event.amount)  # it was taken off when the call ended
-            others = self._take_total(customer, event.name, event.amount, event.total)
-            customer.take(others)
+            customer.window.own -= min(0.0, event.amount)  # it was taken off when the call ended
+            customer.take(self._take_total(customer, event.amount, event.total))
 
     def _count_failed(self, event: Counted, customer: _Customer, amount: float) -> None:
         """No total. What was not added is owed; what may have been is this gateway's own in the next total.
@@ -578,9 +577,9 @@
         """
         if event.result.never_ran:
             customer.owed += amount
-        elif event.name == customer.window:
+        else:
             customer.lost += amount
-            customer.own += min(0.0, amount)
+            customer.window.own += min(0.0, amount)
         self._note_failure(event)
 
     def _note_failure(self, event: Counted) -> None:
@@ -633,7 +632,7 @@
         cost += others
         # One request may cost more than the burst where many gateways share it: it waits for an empty debt.
         if self._within(job, plan, cost) and self._may_pass(job, plan):
-            self._enter_window(job, plan)
+            self._enter_window(job)
             customer.debt += cost
             customer.guess += others
             owes = self._s.counter is not None and self._pooled is None and self._failed < BREAKER_TRIP
@@ -1045,9 +1044,8 @@
         plan = self._s.plans[job.request.plan]
         if plan.rate <= 0:
             return min(self._s.limits.max_retry_after, job.cls.aim)
-        _, length = self._window(job.request.customer, plan)
         missing = max(1.0, job.customer.debt + job.request.units - plan.burst)
-        return min(length, self._s.limits.max_retry_after, int(missing / plan.rate * SECOND))
+        return min(_window_length(plan), self._s.limits.max_retry_after, int(missing / plan.rate * SECOND))
 
     # --- the list of servers ----------------------------------------------------------------------------
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -45,6 +45,23 @@
     return replace(Member(f"10.0.0.{number}:80", State.READY), **fields)  # type: ignore[arg-type]
 
 
+class Totals:
+    """The counter's names: each is forgotten when the life that its first call gave is over."""
+
+    def __init__(self) -> None:
+        self._held: dict[int, tuple[float, int]] = {}
+        self.begun = 0  # how often a name began
+
+    def add(self, call: Count, now: int) -> float:
+        """The total after this call."""
+        total, until = self._held.get(call.name, (0.0, now))
+        if until <= now:
+            total, until = 0.0, now + call.lifetime
+            self.begun += 1
+        self._held[call.name] = (total + call.amount, until)
+        return total + call.amount
+
+
 class RuleBroken(AssertionError):
     """An action breaks one of the five rules."""
 
