--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -162,7 +162,8 @@
     await stop.wait()
     longest = max(cls.deadline for cls in settings.classes) / 1e6
     await clients.stop(ACCEPT, min(longest, KILL_LEAST) + KILL_SPARE)
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # from here on there is nothing to move
+    # There is nothing left to move or to stop, and the loop's end gives signals their defaults back.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
     moves.cancel()
     discovery.close()
     servers.close()
--- a/lynxreel/gateway.py
+++ b/lynxreel/gateway.py
@@ -293,6 +293,11 @@
             self._taken.discard(held.call.id)
 
     def _outlived(self, request: int) -> None:
-        """Guards the one answer in time, whatever the module does."""
-        log("the module let a request's time run out")
-        self._fail(request)
+        """Guards the one answer in time, whatever the module does; what it is about to be told goes first."""
+        self._loop.call_soon(self._answer_forgotten, request)
+
+    def _answer_forgotten(self, request: int) -> None:
+        held = self._open.get(request)
+        if held is not None and not held.over:
+            log("the module let a request's time run out")
+            self._fail(request)
--- a/tests/net.py
+++ b/tests/net.py
@@ -20,7 +20,12 @@
 
 def run(scenario: Callable[[], Coroutine[Any, Any, None]]) -> None:
     """Play a scenario on the loop that the program uses; a hang fails it."""
-    uvloop.run(asyncio.wait_for(scenario(), 10))
+    run_for(10, scenario)
+
+
+def run_for(seconds: float, scenario: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Play one that may take so long."""
+    uvloop.run(asyncio.wait_for(scenario(), seconds))
 
 
 def resp(*words: bytes) -> bytes:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -160,6 +160,27 @@
     assert "time run out" in capfd.readouterr().err
 
 
+def test_a_request_without_time_left_is_answered_by_the_module_and_not_by_its_guard(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    # It waited unread for all of its time: the guard's timer is due before the module is told of it.
+    clocks = SimpleNamespace(monotonic=lambda: 1e12, time_ns=time.time_ns, monotonic_ns=time.monotonic_ns)
+    monkeypatch.setattr(gateway, "time", clocks)
+    monkeypatch.setattr(gateway, "LATE", 0)
+
+    def script(event: api.Event) -> Iterator[api.Action]:
+        if isinstance(event, api.Request):
+            assert event.time_left == 0
+            yield api.Refuse(event.id)
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        ends[1].write(call(1))
+        assert await ends[0].readline() == b"-BUSY\r\n"
+
+    play(monkeypatch, script, scenario)
+    assert capfd.readouterr().err == ""
+
+
 def test_one_answer_whatever_the_module_says_after_it(monkeypatch: pytest.MonkeyPatch) -> None:
     def script(event: api.Event) -> Iterator[api.Action]:
         if isinstance(event, api.Request):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -138,6 +138,20 @@
         assert process.wait(timeout=PATIENCE) == 0
 
 
+def test_signals_that_come_until_the_very_end_do_not_change_how_it_ends(tmp_path: Path) -> None:
+    # The event loop's end gives them their defaults back, which would end the process by a signal.
+    with listener() as discovery, listener() as counter:
+        ports = [s.getsockname()[1] for s in (discovery, counter)] + [free_port()]
+        with start(tmp_path, json.dumps(config(*ports))) as process:
+            with accept(discovery, process), connect(ports[2], process) as client:
+                client.sendall(b"*1\r\n$4\r\nPING\r\n")
+                assert client.recv(64) == b"+PONG\r\n"
+                while process.poll() is None:
+                    process.send_signal(signal.SIGTERM)
+                    process.send_signal(signal.SIGHUP)
+            assert process.returncode == 0
+
+
 @pytest.mark.parametrize("known", [None, {}, [], {"generation": 3, "instances": [{}]}])
 def test_it_starts_without_a_list_that_can_be_read(tmp_path: Path, known: Any) -> None:
     with listener() as discovery:
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import os
 import re
 import signal
@@ -28,7 +29,7 @@
 TOLD = re.compile(rb"(?:^|,)d=(\d+)(?:,|$)")
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Attempt:
     """One command that has come whole to a rate server."""
 
@@ -36,6 +37,7 @@
     request: bytes
     told: int  # milliseconds that the gateway said it waits
     at: float  # seconds, of the test's loop
+    ended_at: float = math.inf  # when its answer was written or its connection ended
 
 
 class _ServerConnection(asyncio.Protocol):
@@ -43,6 +45,7 @@
         self._server, self._reader = server, resp.Reader(16)
         self.transport: asyncio.Transport
         self.replies: Replies
+        self.open: list[Attempt] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -51,6 +54,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._server.connections.discard(self)
+        for attempt in self.open:
+            attempt.ended_at = asyncio.get_running_loop().time()
 
     def data_received(self, data: bytes) -> None:
         self._reader.feed(data)
@@ -64,6 +69,7 @@
     def __init__(self, name: str, work: float) -> None:
         self.name, self.work, self.hangs = name, work, False
         self.started_at_ms, self.lifecycle = 0, "SERVING"
+        self.told_off_at = math.inf  # when the list first said that it drains
         self.attempts: list[Attempt] = []
         self.connections: set[_ServerConnection] = set()
         self.address = ""
@@ -79,13 +85,18 @@
         loop, place = asyncio.get_running_loop(), connection.replies.place()
         told = TOLD.search(words[3])
         assert told is not None, words
-        self.attempts.append(Attempt(self.name, words[2], int(told[1]), loop.time()))
+        attempt = Attempt(self.name, words[2], int(told[1]), loop.time())
+        self.attempts.append(attempt)
+        connection.open.append(attempt)
         if not self.hangs:
-            loop.call_later(self.work, self._answer, connection, place, words[2])
+            loop.call_later(self.work, self._answer, connection, place, attempt)
 
     @staticmethod
-    def _answer(connection: _ServerConnection, place: Reply, value: bytes) -> None:
+    def _answer(connection: _ServerConnection, place: Reply, attempt: Attempt) -> None:
         if not connection.transport.is_closing():
+            connection.open.remove(attempt)
+            attempt.ended_at = asyncio.get_running_loop().time()
+            value = attempt.request
             connection.replies.fill(place, b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value))
 
     def entry(self) -> dict[str, Any]:
