--- a/tests/world.py
+++ b/tests/world.py
@@ -70,6 +70,7 @@
         self.name, self.work, self.hangs = name, work, False
         self.started_at_ms, self.lifecycle = 0, "SERVING"
         self.told_off_at = math.inf  # when the list first said that it drains
+        self.value = b""  # of each answer; the request's id where there is none
         self.attempts: list[Attempt] = []
         self.connections: set[_ServerConnection] = set()
         self.address = ""
@@ -91,12 +92,11 @@
         if not self.hangs:
             loop.call_later(self.work, self._answer, connection, place, attempt)
 
-    @staticmethod
-    def _answer(connection: _ServerConnection, place: Reply, attempt: Attempt) -> None:
+    def _answer(self, connection: _ServerConnection, place: Reply, attempt: Attempt) -> None:
         if not connection.transport.is_closing():
             connection.open.remove(attempt)
             attempt.ended_at = asyncio.get_running_loop().time()
-            value = attempt.request
+            value = self.value or attempt.request
             connection.replies.fill(place, b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value))
 
     def entry(self) -> dict[str, Any]:
@@ -187,13 +187,18 @@
 
 
 def call(
-    request: int, patience: int, customer: int = 7, spread: int = 1, name: bytes = b"quote", units: int = 1
+    request: int,
+    patience: int,
+    customer: int = 7,
+    spread: int = 1,
+    name: bytes = b"quote",
+    units: int = 1,
+    body: bytes = b"BODY",
 ) -> bytes:
-    """A request with this many milliseconds left to its client."""
+    """A request with this many milliseconds left to its client; a body only where it is not `quote`."""
     terms = b"c=%b,t=small,d=%d,units=%d,spread=%d,first=0" % (name, patience, units, spread)
     words = [b"CALL.GET" if name == b"quote" else b"CALL.POST", b"%016x" % customer, b"%016x" % request]
-    body = [] if name == b"quote" else [b"BODY"]
-    return resp.pack([*words, terms, *body])
+    return resp.pack([*words, terms] if name == b"quote" else [*words, terms, body])
 
 
 @dataclass
