--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -68,6 +68,7 @@
 LIMIT_RAISE = 1.0  # attempts more, by all gateways, after as many timely answers as a server may hold
 LIMIT_CUT = 0.6  # what is left of a server's limit after an answer that came too late
 ABANDON_AIMS = 2.0  # aims after which a server that never answered has surely dropped an attempt given up
+LATE_MOST = SECOND  # microseconds; totals come no later, so that none is of the window before
 CUSTOMER_SHIFT = 24  # bits of a count's name below the customer
 PLACE = 1 << 63  # marks the names of counts of open requests; names of units are below it
 PLACE_WINDOW = 8 * SECOND  # microseconds; a place whose giving back was lost is free again after that
@@ -95,10 +96,10 @@
                  "looks", "lost", "open", "over", "owed", "rate", "seen_others", "seen_own",
                  "short_at", "spare", "window")
 
-    def __init__(self, plan: Plan, now: int) -> None:
+    def __init__(self, plan: Plan, window: SharedCount, now: int) -> None:
         self.burst, self.rate, self.debt, self.at = plan.burst, plan.rate, 0.0, now
         self.spare = 0.0  # units refilled since the last total that found no debt here
-        self.window = SharedCount(_window_length(plan), now)
+        self.window = window
         self.looks, self.over = 0.0, 0.0  # decisions by total, and refusals among them, fading
         self.excess = 0.0  # units in the window's totals that found no room in the burst
         self.guess = 0.0  # part of `debt` that stands for others until the next total
@@ -128,7 +129,7 @@
         Guards customers that come through many gateways: each of them sees the use of a whole window at once,
         and would take all of it for a debt of this moment. Harmless where a gateway looks often.
         """
-        spare = min(self.spare, self.rate * (now - self.window.began()) / SECOND)
+        spare = min(self.spare, self.rate * (now - self.window.began) / SECOND)
         self.spare = 0.0
         return min(max(0.0, others), REFILL_PART * spare)
 
@@ -390,7 +391,10 @@
         """The customer's state, moved on to now. Customers long unheard of are dropped."""
         customer = self._customers.get(request.customer)
         if customer is None:
-            customer = self._customers[request.customer] = _Customer(plan, self._now)
+            limit = self._s.counter.time_limit if self._s.counter else 0
+            offset = request.customer * 7919  # edges of different customers fall apart
+            window = SharedCount(_window_length(plan), limit, offset, self._now)
+            customer = self._customers[request.customer] = _Customer(plan, window, self._now)
             # The ceiling's share starts empty at boot, so that no restart refills it.
             customer.limit_at = self._born
         self._customers.move_to_end(request.customer)
@@ -494,8 +498,7 @@
 
     def _enter_window(self, job: _Job) -> int:
         """The name of the customer's count. One whose life is over by now starts from nothing."""
-        if job.customer.window.over(self._now):
-            job.customer.window.begin(self._now)
+        if job.customer.window.enter(self._now):
             job.customer.leave_window()
         return job.request.customer << CUSTOMER_SHIFT
 
@@ -506,7 +509,7 @@
         units, job.customer.owed = units + min(job.customer.owed, job.customer.debt), 0.0
         self._asked.setdefault(name, []).append(waiting)
         self._amounts.setdefault(name, []).append((job.customer, units))
-        self._out.append(Count(name, units, _window_length(plan)))
+        self._out.append(Count(name, units, job.customer.window.life(self._now)))
 
     def _on_counted(self, event: Counted) -> None:
         waiting = self._asked[event.name].pop(0)
@@ -564,7 +567,7 @@
         the next one puts it right.
         """
         customer = self._customers.get(event.name >> CUSTOMER_SHIFT)
-        if customer is not None and not customer.window.over(self._now):
+        if customer is not None and self._now - customer.window.began > LATE_MOST:
             customer.lost -= event.amount
             customer.window.own -= min(0.0, event.amount)  # it was taken off when the call ended
             customer.take(self._take_total(customer, event.amount, event.total))
