Let a client read its answers as late as it waits for them

Effect: a client that rested from reading for over 2 s with more answers than the buffers hold was cut off and lost them, though its requests' time was not over (clients.overdue). It has the longest deadline of the settings now, as long as all unread answers together stay under 8 MiB; beyond that the 2 s hold as before, which bounds memory.

--- a/lynxreel/clients.py
+++ b/lynxreel/clients.py
@@ -35,7 +35,8 @@
 READ_AHEAD = 8 * 1024  # bytes of commands that wait to be taken; of more, when they came is not known so well
 TURN = 64  # commands taken from one connection before others have their turn
 PAUSE = 0.05  # seconds without reading after a command that is no call: repeats must not take the others' CPU
-PATIENCE = 2.0  # seconds for a first command, for the rest of one, and for reading the answers
+PATIENCE = 2.0  # seconds for a first command and for the rest of one
+MOST_UNREAD = 8 << 20  # bytes of answers that clients may leave unread, all together, for as long as they wait
 SWEEP = 0.25  # seconds between looks for connections that have used that up
 IDLE_LEAST = 2.0  # seconds that one stays open after its last answer
 IDLE_PART = 0.25  # of the connections; of more that have idled for so long, the oldest are closed
@@ -63,6 +64,7 @@
     plans: dict[bytes, int]
     most_units: float
     gateways: int
+    longest: float = 0.0  # seconds that a client waits for its answer at the most
 
     @classmethod
     def of(cls, settings: Settings, names: Names) -> Terms:
@@ -73,6 +75,7 @@
             {name.encode(): number for name, number in names.plans.items()},
             settings.units_top,
             settings.fleet_size,
+            max(cls.deadline for cls in settings.classes) / 1e6,
         )
 
 
@@ -162,6 +165,7 @@
         self._paused = False  # it is not read
         self._ending = False  # nothing more is taken; ended once all is answered
         self._fresh = True  # nothing has come on it yet
+        self.unread_since = 0.0  # since when its client has not read what was answered
         self._left_over = 0  # bytes that came after it was ended
         self.ended_at: float | None = None  # when it was told that no more answers come
         self.queue: deque[Call] = deque()
@@ -344,7 +348,9 @@
 
     def overdue(self) -> None:
         """It has had its time for a command, or for reading its answers."""
-        if self._holds & self.UNREAD or self.ended_at is not None or self.transport.is_closing():
+        if self._holds & self.UNREAD and self.ended_at is None and self._clients.may_read_later(self):
+            self._clients.wait_for(self, again=True)
+        elif self._holds & self.UNREAD or self.ended_at is not None or self.transport.is_closing():
             self.cut()
         elif self._reader.empty():
             self.end(patient=False)
@@ -354,6 +360,7 @@
     def pause_writing(self) -> None:
         """Guards memory: a client that does not read its answers is not read either."""
         self._hold(self.UNREAD)
+        self.unread_since = self._clients.loop.time()
         self._clients.wait_for(self, again=True)
 
     def resume_writing(self) -> None:
@@ -473,6 +480,12 @@
             self.waiting.pop(connection, None)
         self.waiting.setdefault(connection, self.loop.time())
 
+    def may_read_later(self, connection: Connection) -> bool:
+        """Its client may still wait for what it does not read, and all such answers take little memory."""
+        held = sum(other.transport.get_write_buffer_size() for other in self.waiting)
+        held += connection.transport.get_write_buffer_size()
+        return self.loop.time() - connection.unread_since < self.terms.longest and held <= MOST_UNREAD
+
     def rest(self, connection: Connection) -> None:
         """All is answered on it."""
         self.idle.pop(connection, None)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,11 +3,12 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import cast
 
 import pytest
 
-from lynxreel.clients import MOST_OPEN, Clients
+from lynxreel.clients import MOST_OPEN, Clients, Connection
 from lynxreel.gateway import Engine
 from tests.net import CUSTOMER, LOCAL, TERMS, Heard, call, resp, run
 
@@ -359,6 +360,44 @@
     play(scenario)
 
 
+@pytest.mark.parametrize(
+    ("longest", "bound", "whole"), [(60.0, 64, True), (0.0, 64, False), (60.0, 1, False)]
+)
+def test_a_client_may_read_its_answers_as_late_as_it_waits_for_them(
+    longest: float, bound: int, whole: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Cut before, it would lose what is owed to it; the memory for that is bounded.
+    monkeypatch.setattr("lynxreel.clients.SWEEP", 0.01)
+    monkeypatch.setattr("lynxreel.clients.PATIENCE", 0.0)
+    monkeypatch.setattr("lynxreel.clients.MOST_UNREAD", bound << 20)
+    swept = asyncio.Event()
+
+    async def scenario(heard: Heard, clients: Clients, connect: Callable[[], Awaitable[Ends]]) -> None:
+        clients.terms = replace(TERMS, longest=longest)
+        reader, writer = await connect()
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(call(1) + call(2))
+        first, second = await heard.calls.get(), await heard.calls.get()
+        overdue = Connection.overdue
+
+        def noted(late: Connection) -> None:
+            overdue(late)
+            swept.set()
+
+        monkeypatch.setattr(Connection, "overdue", noted)
+        first.served(b"x" * (16 << 20))  # more than the sockets' buffers hold
+        await swept.wait()
+        assert (second.connection in clients.connections) is whole
+        second.failed()
+        writer.transport.resume_reading()  # type: ignore[attr-defined]
+        if whole:
+            assert await reader.readline() == b"$%d\r\n" % (16 << 20)
+            assert (await reader.readexactly((16 << 20) + 2)).endswith(b"x\r\n")
+            assert await reader.readline() == b"-ERR failed\r\n"
+
+    play(scenario)
+
+
 def test_of_many_that_have_idled_long_the_oldest_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards the room of clients that have more to ask: some ask once and keep their connection for good.
     monkeypatch.setattr("lynxreel.clients.IDLE_LEAST", 0.0)
