--- a/lynxreel/gateway.py
+++ b/lynxreel/gateway.py
@@ -160,22 +160,29 @@
         self._schedule()
 
     def finished(
-        self, attempt: Attempt, result: api.Result, value: bytes = b"", load: tuple[float, ...] = ()
+        self,
+        attempt: Attempt,
+        result: api.Result,
+        value: bytes = b"",
+        load: tuple[float, ...] = (),
+        true_units: float | None = None,
     ) -> None:
-        """An attempt has ended. The first good answer goes to the client."""
+        """An attempt has ended. The first good answer goes to the client, and its true units count."""
         if attempt.over:
             return
         attempt.over = True
         self._out.pop((attempt.request, attempt.number), None)
         attempt.held.out -= 1
+        first_good = False
         if result is api.Result.OK and (closed := self._close(attempt.request)) is not None:
+            first_good = True
             closed.call.served(value)
         self._forget_id(attempt.held)
         elapsed = self.clock.now() - attempt.started
         final = attempt.held.over
-        self.post(
-            api.Outcome(attempt.request, attempt.number, attempt.server, result, elapsed, final, load=load)
-        )
+        units = true_units if first_good else None
+        ids = (attempt.request, attempt.number, attempt.server)
+        self.post(api.Outcome(*ids, result, elapsed, final, true_units=units, load=load))
 
     # --- events and actions -----------------------------------------------------------------------------
 
--- a/lynxreel/servers.py
+++ b/lynxreel/servers.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import math
+import re
 import select
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -24,6 +25,7 @@
 SWEEP = 1.0  # seconds between looks for connections that have idled too long
 SETTLE = 0.03  # seconds that a connection rests after an answer: a second one comes some milliseconds later
 USE = (b"used=", b"cost=")  # how figures on use begin in error lines
+COST = re.compile(rb"(?:^|,)cost=(\d{1,9}(?:\.\d{1,9})?)(?:,|$)")  # the true units, among the figures on use
 ANSWER = 3  # items in an answer: the value, the figures on use, the load report
 OWN_LIMITS = RESOURCES | {errno.EADDRNOTAVAIL}  # errors of a connect that say nothing of the server
 SILENT = 2  # attempts given up in a row after which a server's idle connections are not trusted
@@ -433,7 +435,7 @@
         """A server's answer; false where it is none that the protocol knows: no other can follow it."""
         if isinstance(answer, list):
             if len(answer) == ANSWER and answer[0] is not None:
-                self.end(attempt, Result.OK, answer[0], self._load(answer[2]))
+                self.end(attempt, Result.OK, answer[0], self._load(answer[2]), self._cost(answer[1]))
                 return True
             self.end(attempt, Result.ERROR)
             return False
@@ -460,12 +462,27 @@
             return ()
         return load if all(math.isfinite(figure) and figure >= 0 for figure in load) else ()
 
-    def end(self, attempt: Attempt, result: Result, value: bytes = b"", load: tuple[float, ...] = ()) -> None:
+    def _cost(self, text: bytes | None) -> float | None:
+        """The true units in the figures on use, where these count; None where they can't be read."""
+        found = COST.search(text) if text and self._settings.units_settle else None
+        if found is None:
+            return None
+        units = float(found[1])
+        return units if 0 < units <= self._settings.units_top else None
+
+    def end(
+        self,
+        attempt: Attempt,
+        result: Result,
+        value: bytes = b"",
+        load: tuple[float, ...] = (),
+        true_units: float | None = None,
+    ) -> None:
         """An attempt's one outcome."""
         out = self._out.pop(attempt, None)
         if out is not None:
             out[0].cancel()
-            self._engine.finished(attempt, result, value, load)
+            self._engine.finished(attempt, result, value, load, true_units)
 
     def drop_idle(self, now: float) -> None:
         """Guards unsafe requests: one that crosses the closing of an idle connection can't be retried."""
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -905,7 +905,8 @@
             if event.result is Result.OK and self._s.units_settle and event.true_units is not None:
                 units = event.true_units - job.request.units
                 job.customer.debt = max(0.0, job.customer.debt + units)
-                self._settle(job, units)
+                if job.added:  # with the next call: one of its own for each answer would crowd the counter
+                    job.customer.owed += units * job.added / job.request.units
             del self._jobs[event.request]
             return
         if live is not None and not event.result.never_ran:
