--- a/fleetbench/stand_ins/replies.py
+++ b/fleetbench/stand_ins/replies.py
@@ -33,4 +33,5 @@
         reply.text = text
         while self._queue and (ready := self._queue[0].text) is not None:
             self._queue.popleft()
-            self._transport.write(ready)
+            if not self._transport.is_closing():
+                self._transport.write(ready)
--- a/lynxreel/arrivals.py
+++ b/lynxreel/arrivals.py
@@ -36,7 +36,7 @@
         self._until = now + DRAIN
 
     def came(self, size: int, now: float) -> None:
-        """So many bytes have been read."""
+        """So many bytes have been read, which the system may have held since `now`, but not for longer."""
         at = now
         if self._since is not None:
             if now > self._until:
@@ -47,7 +47,7 @@
                     self._until = now + DRAIN
         self._read += size
         if self._marks and at - self._marks[-1][1] < MERGE:
-            at = self._marks.pop()[1]
+            at = min(at, self._marks.pop()[1])
         self._marks.append((self._read, at))
 
     def of(self, end: int) -> float:
--- a/lynxreel/clients.py
+++ b/lynxreel/clients.py
@@ -13,7 +13,7 @@
 from typing import cast
 
 from lynxreel import resp
-from lynxreel.arrivals import Arrivals
+from lynxreel.arrivals import DRAIN, Arrivals
 from lynxreel.gateway import Engine
 from lynxreel.passing import AGAIN, RESOURCES, look
 from mothgap.interface import Effect, Settings
@@ -30,6 +30,8 @@
 ROUND = 0.01  # seconds between a stop's looks at the connections that are left
 LINGER = 0.3  # seconds that a stop leaves the other end to close, which then has read all answers
 LEFT_OVER = 256 * 1024  # bytes read after the last answer: unread ones would reset what was answered before
+BEAT = 0.05  # seconds between marks of the loop's time: if one is late the loop was held up, and bytes waited
+BEAT_SLACK = 0.005  # seconds by which a mark may be late
 LOOK = 0.03  # seconds between looks for clients that left connections which are not read; 0.1 are allowed
 MOST_OPEN = 64  # commands of one connection that wait for their answers; more are not taken yet
 READ_AHEAD = 8 * 1024  # bytes of commands that wait to be taken; of more, when they came is not known so well
@@ -180,7 +182,7 @@
         """Read what is whole; keep the rest, within bounds."""
         self._fresh = False
         if not self._ending:
-            self._arrivals.came(len(data), self._clients.loop.time())
+            self._arrivals.came(len(data), self._clients.here_since())
             self._reader.feed(data)
             if not self._holds:
                 self._read()
@@ -387,6 +389,8 @@
         self._held: dict[int, Connection] = {}  # those that are not read for now, by descriptor
         self._hangups = select.poll()
         self._looking = False
+        self._beat_at = loop.time()  # the last mark
+        self._held_since, self._held_until = 0.0, 0.0  # what is read until then may have waited since then
         self._listener: socket.socket
         self._taking: set[asyncio.Task[None]] = set()  # sockets that were accepted and become connections
         self._short_since: float | None = None  # since when connections wait for room in the system
@@ -406,8 +410,21 @@
         except OSError:
             self._listener.close()  # a further try takes the same address
             raise
+        self._beat()
         self.sweep()
 
+    def _beat(self) -> None:
+        now, due = self.loop.time(), self._beat_at + BEAT
+        if now - due > BEAT_SLACK:
+            self._held_since, self._held_until = due, now + DRAIN
+        self._beat_at = now
+        self.loop.call_later(BEAT, self._beat)
+
+    def here_since(self) -> float:
+        """Since when what is read now may have waited: the loop may just have been held up."""
+        now = self.loop.time()
+        return self._held_since if now <= self._held_until else min(now, self._beat_at + BEAT)
+
     def _accept(self) -> None:
         """Take what waits. What the system has no room for goes on waiting, and is taken a little later."""
         for _ in range(ACCEPT_TURN):
@@ -437,7 +454,10 @@
             self.loop.call_later(AGAIN, self._accept_again)
 
     def _take_in(self, accepted: socket.socket) -> None:
-        task = self.loop.create_task(self._connect(accepted, self._short_since))
+        waited_since = self._short_since
+        if waited_since is None and self.here_since() < self.loop.time():
+            waited_since = self.here_since()
+        task = self.loop.create_task(self._connect(accepted, waited_since))
         self._taking.add(task)
         task.add_done_callback(self._taking.discard)
 
--- a/lynxreel/gateway.py
+++ b/lynxreel/gateway.py
@@ -15,7 +15,7 @@
 from mothgap.rules import Gateway
 
 WAY = 10_000  # microseconds of a client's patience kept back for the way there and back and for loop lag
-LATE = 5_000  # microseconds past the deadline told to the module at which the answer is given without it
+LATE = 30_000  # microseconds past the deadline told to the module at which the answer is given without it
 
 
 class Call(Protocol):
--- a/tests/test_time_told.py
+++ b/tests/test_time_told.py
@@ -1,17 +1,19 @@
 """The time that an attempt tells its rate server, of requests that have waited unread."""
 
 import asyncio
+import signal
 from pathlib import Path
 
 import pytest
 
 from lynxreel.arrivals import DRAIN, LARGE, Arrivals
-from tests.net import run
+from tests.net import resp, run
 from tests.world import World, call
 
 SLACK = 0.15  # seconds by which the time told may go beyond what the client has left
 LATE = 0.05  # seconds after its time in which an answer still counts
 PATIENCE_MS = 1_500
+HELD = 0.6  # seconds
 
 
 @pytest.mark.parametrize(("commands", "work"), [(200, 0.4), (200, 0.1), (3_000, 0.02)])
@@ -60,3 +62,25 @@
         arrivals.came(1, number * 1e-4)
     assert len(arrivals._marks) <= 201
     assert arrivals.of(10_000) <= 1.0
+
+
+@pytest.mark.parametrize("fresh", [False, True])
+def test_what_came_while_the_process_was_held_up_has_waited_that_long(tmp_path: Path, fresh: bool) -> None:
+    async def scenario() -> None:
+        async with World(tmp_path, servers=2) as world:
+            process, loop = world.start(), asyncio.get_running_loop()
+            await world.ready()
+            client = await world.connect()
+            client.writer.write(resp(b"PING"))
+            assert await client.answer() == b"+PONG"
+            process.send_signal(signal.SIGSTOP)
+            client = await world.connect() if fresh else client
+            client.writer.write(call(1, PATIENCE_MS))
+            sent = loop.time()
+            await asyncio.sleep(HELD)  # the time itself is what is tried
+            process.send_signal(signal.SIGCONT)
+            assert await client.answer() == b"%016x" % 1
+            (attempt,) = world.attempts()
+            assert attempt.at + attempt.told / 1e3 - sent <= PATIENCE_MS / 1e3 + SLACK
+
+    run(scenario)
