--- a/fleetbench/hollow.py
+++ b/fleetbench/hollow.py
@@ -330,7 +330,7 @@
             limit = counter.time_limit
             self._later(limit, Counted(call.name, Result.TIMEOUT, limit, 0.0))
         else:
-            fleet.totals[call.name] = total = fleet.totals.get(call.name, 0.0) + call.amount
+            total = fleet.add(call)
             self._later(COUNTER_DELAY, Counted(call.name, Result.OK, COUNTER_DELAY, total))
 
     def _send(self, send: Send) -> None:
@@ -381,7 +381,7 @@
         self.random = Random(seed)
         self.now = START
         self.tallies = Tallies()
-        self.totals: dict[int, float] = {}
+        self.totals: dict[int, tuple[float, int]] = {}  # by name: its total, and its life's end
         self.counter_down = False
         self.others_load = 1.0  # of gateways that are not emulated: requests to a server, over the usual
         self._events: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
@@ -396,6 +396,14 @@
         for gateway in self.gateways.values():
             self._await_request(gateway)
 
+    def add(self, call: Count) -> float:
+        """The counter's total after a call; a name lives as long as its first call asked for."""
+        total, until = self.totals.get(call.name, (0.0, self.now))
+        if until <= self.now:
+            total, until = 0.0, self.now + call.lifetime
+        self.totals[call.name] = (total + call.amount, until)
+        return total + call.amount
+
     def start_background(self, holders: Holders, reach: Holders | None = None) -> None:
         """Draw the work of the gateways that are not emulated, at the servers of those that are.
 
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -68,7 +68,6 @@
 LIMIT_RAISE = 1.0  # attempts more, by all gateways, after as many timely answers as a server may hold
 LIMIT_CUT = 0.6  # what is left of a server's limit after an answer that came too late
 ABANDON_AIMS = 2.0  # aims after which a server that never answered has surely dropped an attempt given up
-LATE_MOST = SECOND  # microseconds; totals come no later, so that none is of the window before
 CUSTOMER_SHIFT = 24  # bits of a count's name below the customer
 PLACE = 1 << 63  # marks the names of counts of open requests; names of units are below it
 PLACE_WINDOW = 8 * SECOND  # microseconds; a place whose giving back was lost is free again after that
@@ -94,7 +93,7 @@
 
     __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "full_until", "guess", "limit_at",
                  "looks", "lost", "open", "over", "owed", "rate", "seen_others", "seen_own",
-                 "short_at", "spare", "window")
+                 "short_at", "spare", "unheard", "window")
 
     def __init__(self, plan: Plan, window: SharedCount, now: int) -> None:
         self.burst, self.rate, self.debt, self.at = plan.burst, plan.rate, 0.0, now
@@ -104,6 +103,7 @@
         self.excess = 0.0  # units in the window's totals that found no room in the burst
         self.guess = 0.0  # part of `debt` that stands for others until the next total
         self.seen_own, self.seen_others = 0.0, 0.0  # units that totals held, by whom, fading
+        self.unheard = 0  # calls in the window that ended without a total, which may still come
         self.lost = 0.0  # adds in the window whose answer never came: the next total holds them
         self.owed = 0.0  # units that passed without a call: to be added with the next one
         self.backlog = 0.0  # running mean of what was owed when calls were made
@@ -114,7 +114,7 @@
 
     def leave_window(self) -> None:
         """The count is a new one: it holds nothing of what was guessed, lost or beyond the quota before."""
-        self.guess, self.excess, self.lost = 0.0, 0.0, 0.0
+        self.guess, self.excess, self.lost, self.unheard = 0.0, 0.0, 0.0, 0
         self.owed = max(0.0, self.owed)  # this count never held what would be taken back
 
     def refill(self, now: int) -> None:
@@ -567,7 +567,8 @@
         the next one puts it right.
         """
         customer = self._customers.get(event.name >> CUSTOMER_SHIFT)
-        if customer is not None and self._now - customer.window.began > LATE_MOST:
+        if customer is not None and customer.unheard > 0:  # else the call was of the window before
+            customer.unheard -= 1
             customer.lost -= event.amount
             customer.window.own -= min(0.0, event.amount)  # it was taken off when the call ended
             customer.take(self._take_total(customer, event.amount, event.total))
@@ -581,6 +582,7 @@
         if event.result.never_ran:
             customer.owed += amount
         else:
+            customer.unheard += 1
             customer.lost += amount
             customer.window.own += min(0.0, amount)
         self._note_failure(event)
