--- a/rushroad/bench/client_connections.py
+++ b/rushroad/bench/client_connections.py
@@ -8,7 +8,7 @@
 
 from rushroad.bench.commands import Outcome
 
-MAX_CONNECTIONS = 400  # to one gateway, which accepts 744 client connections if limited to 1,024 descriptors
+MAX_CONNECTIONS = 400  # to one gateway, which accepts 738 client connections if limited to 1,024 descriptors
 
 
 class ClientRequest:
--- a/rushroad/proxy/configuration.py
+++ b/rushroad/proxy/configuration.py
@@ -25,7 +25,7 @@
 
 PATH_VARIABLE = "EDGE_CONFIG"  # environment variable with the path of the configuration file
 READ_BYTES = 64 * 1024  # per event loop iteration
-RESERVED_SOCKETS = 32  # descriptors for the counter, discovery, the event loop and the standard streams
+RESERVED_SOCKETS = 40  # descriptors for the counter, discovery, the event loop and the standard streams
 UPSTREAM_FRACTION = 0.25  # of the other descriptors, for connections to endpoints; the rest is for clients
 RELOAD_RETRY_TIME_S = 3.0  # 4 s after SIGHUP, the gateway is expected to use the new configuration
 RELOAD_RETRIED_ERRORS = TRANSIENT_ERRORS | {errno.ENOENT}  # the file may be missing while it is replaced
--- a/rushroad/proxy/discovery.py
+++ b/rushroad/proxy/discovery.py
@@ -32,7 +32,9 @@
 # The reconnect delays are short because a drain may be missed meanwhile, and the drain grace is short.
 INITIAL_RECONNECT_DELAY_S = 0.1
 MAX_RECONNECT_DELAY_S = 0.2
-MAX_PENDING_WATCHES = 6  # watches not established yet; beyond that the oldest is closed
+MAX_PENDING_WATCHES = 16  # watches not established yet; one of them is closed for each further one
+# A pending watch is kept for at least this time, as the gateway counts as notified of an update after it.
+MIN_PENDING_TIME_S = 6.0
 UpdateHandler = Callable[[EndpointUpdate, list[ListedEndpoint]], None]
 
 
@@ -41,6 +43,8 @@
 
     def __init__(self, discovery: Discovery) -> None:
         self._discovery = discovery
+        self.address_number = discovery.address_number
+        self.opened_at_s = discovery.loop.time()
         self._http = h11.Connection(h11.CLIENT)
         self._decoder = EndpointDecoder(discovery.settings, discovery.memory_limit)
         self._received_data = False  # part of the response body has arrived
@@ -191,6 +195,7 @@
         self.loop = loop
         self.version = version
         self.address, self.settings, self.memory_limit = address, settings, memory_limit
+        self.address_number = 0  # counts the address changes
         self.list_received = asyncio.Event()  # a complete list has been received since the start
         self._on_update = on_update
         self._backoff = Backoff(INITIAL_RECONNECT_DELAY_S, MAX_RECONNECT_DELAY_S, rng)
@@ -201,12 +206,17 @@
         self._task = loop.create_task(self._maintain_watch())
 
     def set_address(self, address: Address) -> None:
-        """Watch at another address, from the current version; until it is established, read the old one."""
+        """Watch at another address, from the current version.
+
+        Until a watch at it is established, the requests that have been sent to earlier addresses stay open:
+        an agent that is slow to respond may still do so.
+        """
         if address == self.address:
             return
         self.address = address
+        self.address_number += 1
         self._task.cancel()
-        self._close_pending()
+        self._close_pending([watch for watch in self._pending_watches if watch.transport is None])
         self._task = self.loop.create_task(self._maintain_watch())
 
     def handle_part(self, part: ListPart) -> None:
@@ -252,41 +262,71 @@
             self._not_ready.clear()
 
     def watch_established(self, watch: WatchConnection) -> None:
-        """Close all other watches, as this one has been established."""
+        """Close the other watches, except pending ones at a later address than that of this watch."""
         self._pending_watches.remove(watch)
         previous, self._watch = self._watch, watch
         if previous is not None:
             previous.close()
-        self._close_pending()
+        self._close_pending(
+            [other for other in self._pending_watches if other.address_number <= watch.address_number]
+        )
 
-    def _close_pending(self) -> None:
-        for watch in self._pending_watches:
+    def _close_pending(self, watches: list[WatchConnection]) -> None:
+        for watch in watches:
+            self._pending_watches.remove(watch)
             watch.close()
-        self._pending_watches.clear()
+
+    def _pending_at_address(self) -> bool:
+        """Return whether a watch at the current address is pending."""
+        return any(watch.address_number == self.address_number for watch in self._pending_watches)
 
     async def _maintain_watch(self) -> None:
         """Open watches until one is established, then wait until it ends or its silence timeout expires.
 
-        A pending watch stays open while the next one is tried: an agent that was unreachable may respond to
-        any of them once it is back, and the gateway counts as notified of the updates that it sends.
+        A pending watch stays open while the next ones are tried: a slow agent responds to the earliest first,
+        and one that was unreachable may respond to any of them once it is back. The gateway counts as
+        notified of the updates that it sends.
         """
         while True:
             self._pending_watches = [
                 watch for watch in self._pending_watches if not watch.silent_or_ended.done()
             ]
             if len(self._pending_watches) >= MAX_PENDING_WATCHES:
-                self._pending_watches.pop(0).close()
+                self._close_pending([self._least_useful_pending()])
             watch = WatchConnection(self)
             self._pending_watches.append(watch)
             await asyncio.wait([watch.established_or_ended], timeout=RESPONSE_TIMEOUT_S)
             # The established watch may be an earlier one.
-            if self._watch is not None and not self._pending_watches:
+            if self._watch is not None and not self._pending_at_address():
                 await asyncio.wait([self._watch.silent_or_ended])
             await asyncio.sleep(self._backoff.next_delay())
 
+    def _least_useful_pending(self) -> WatchConnection:
+        """Return the pending watch to close for another one.
+
+        Watches at earlier addresses go first. Otherwise the times for which the remaining ones have been
+        open stay spread out: the oldest is kept however long the agent takes to respond, and so is any that
+        is younger than MIN_PENDING_TIME_S.
+        """
+        pending, now = self._pending_watches, self.loop.time()
+
+        def age_s(watch: WatchConnection) -> float:
+            return max(RESPONSE_TIMEOUT_S, now - watch.opened_at_s)
+
+        if pending[0].address_number != self.address_number:
+            return pending[0]
+        inner = range(1, len(pending) - 1)
+        candidates = [n for n in inner if age_s(pending[n]) >= MIN_PENDING_TIME_S] or inner
+
+        def ratio_of_neighbours(n: int) -> float:
+            """Return the ratio of the ages between which closing this watch leaves a gap."""
+            return age_s(pending[n - 1]) / age_s(pending[n + 1])
+
+        return pending[min(candidates, key=ratio_of_neighbours)]
+
     def close(self) -> None:
         """Close all watches at process shutdown."""
         self._task.cancel()
-        self._close_pending()
+        self._close_pending(list(self._pending_watches))
         if self._watch is not None:
             self._watch.close()
--- a/tests/proxy/test_discovery.py
+++ b/tests/proxy/test_discovery.py
@@ -9,7 +9,7 @@
 
 from rushroad.policy.events import EndpointState, EndpointUpdate, UpdateKind
 from rushroad.proxy import discovery as discovery_module
-from rushroad.proxy.discovery import Discovery
+from rushroad.proxy.discovery import Discovery, WatchConnection
 from rushroad.proxy.endpoint_decoder import ListedEndpoint
 from tests.support.loopback import LOOPBACK, PROXY_SETTINGS, DelayedConnectLoop, Peer, run
 from tests.support.watch import (
@@ -172,6 +172,77 @@
     run_watch_scenario(scenario)
 
 
+def shorten_reconnects(monkeypatch: pytest.MonkeyPatch, seconds: float) -> None:
+    """Make the time until another watch is opened, and the delay before it, this short."""
+    for name in ("RESPONSE_TIMEOUT_S", "MAX_RECONNECT_DELAY_S", "INITIAL_RECONNECT_DELAY_S"):
+        monkeypatch.setattr(discovery_module, name, seconds)
+
+
+def test_first_watch_is_kept_however_many_follow_it_without_a_response(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against: a slow agent is never heard, as each request is closed before its response comes.
+    shorten_reconnects(monkeypatch, 0.001)
+
+    async def scenario(watch: WatchHarness) -> None:
+        first, _ = await watch.peer.receive()
+        while len(watch.peer.writers) < 4 * discovery_module.MAX_PENDING_WATCHES:
+            ended, data = await watch.peer.receive()
+            assert data or ended is not first
+        first.write(RESPONSE_HEAD + chunk(list_line(42)))
+        assert (await watch.next_update()).version == 42
+
+    run_watch_scenario(scenario)
+
+
+def test_each_watch_is_kept_for_the_time_after_which_its_updates_count_as_notified(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against: after an outage that the first requests did not survive, a slow agent is never heard.
+    assert discovery_module.MIN_PENDING_TIME_S >= 6.0
+    interval_s = discovery_module.RESPONSE_TIMEOUT_S + 0.75 * discovery_module.MAX_RECONNECT_DELAY_S
+    assert (discovery_module.MAX_PENDING_WATCHES - 2) * interval_s >= discovery_module.MIN_PENDING_TIME_S
+    shorten_reconnects(monkeypatch, 0.02)
+    min_pending_s = 0.2
+    monkeypatch.setattr(discovery_module, "MIN_PENDING_TIME_S", min_pending_s)
+
+    async def scenario(watch: WatchHarness) -> None:
+        ages_s: list[float] = []
+        close = WatchConnection.close
+
+        def record_age(connection: WatchConnection) -> None:
+            ages_s.append(asyncio.get_running_loop().time() - connection.opened_at_s)
+            close(connection)
+
+        monkeypatch.setattr(WatchConnection, "close", record_age)
+        while len(ages_s) < discovery_module.MAX_PENDING_WATCHES:
+            await watch.peer.receive()
+        assert min(ages_s) >= min_pending_s
+
+    run_watch_scenario(scenario)
+
+
+def test_slow_response_from_an_earlier_address_is_read_until_the_new_one_responds() -> None:
+    # Guards against: with new configurations in quick succession, no slow agent is ever heard.
+    async def scenario(watch: WatchHarness) -> None:
+        earlier, _ = await watch.peer.receive()
+        async with Peer() as other:
+            watch.discovery.set_address((LOOPBACK, other.port))
+            later, _ = await other.receive()
+            earlier.write(RESPONSE_HEAD + chunk(list_line(42)))
+            assert (await watch.next_update()).version == 42
+            earlier.write(chunk(list_line(43)))
+            assert (await watch.next_update()).version == 43
+            later.write(RESPONSE_HEAD + chunk(list_line(44)))
+            assert (await watch.next_update()).version == 44
+            while (ended := await watch.peer.receive())[1] != b"":
+                pass
+            assert ended[0] is earlier
+            watch.discovery.close()
+
+    run_watch_scenario(scenario)
+
+
 def test_watch_with_a_response_head_but_no_body_is_not_established() -> None:
     async def scenario(watch: WatchHarness) -> None:
         await watch.peer.respond(RESPONSE_HEAD)
