--- a/rushroad/proxy/client_connection.py
+++ b/rushroad/proxy/client_connection.py
@@ -169,13 +169,13 @@
             ready.append(answer)
         if ready and not self.transport.is_closing():
             self.transport.write(b"".join(ready))
+        pipeline_full = self._blocked_by & BlockReason.PIPELINE_FULL
+        if pipeline_full and not self._input_closed and len(self.unanswered) <= MAX_UNANSWERED // 2:
+            self._unblock(BlockReason.PIPELINE_FULL)
         if not self.unanswered:
             self._table.mark_idle(self)
             if self._input_closed or self._table.shutting_down:
                 self.close()
-        pipeline_full = self._blocked_by & BlockReason.PIPELINE_FULL
-        if pipeline_full and not self._input_closed and len(self.unanswered) <= MAX_UNANSWERED // 2:
-            self._unblock(BlockReason.PIPELINE_FULL)
 
     def _refuse_input(self, error: str) -> None:
         """Send an error after the pending answers, then close: later input cannot be parsed."""
@@ -223,18 +223,53 @@
 
     # --- closing ------------------------------------------------------------------------------------------
 
+    def is_quiet(self) -> bool:
+        """Return whether nothing is owed to the client: no command has arrived that is not answered."""
+        if self.unanswered or self.transport.get_write_buffer_size():
+            return False
+        return self.ended_at is not None or not self._may_hold_command()
+
+    def _may_hold_command(self) -> bool:
+        """Return whether a complete command may have arrived that has not been processed.
+
+        It may be in the reader while processing is blocked, or in the kernel, where only reading shows it.
+        """
+        return bool(self._blocked_by and self._reader.unread_bytes) or is_readable(self.descriptor)
+
     def close(self, await_command: bool = True) -> None:
-        """Send the end of the stream if nothing is unanswered, then linger until the client closes.
+        """Send the end of the stream if nothing is owed to the client, then linger until the client closes.
 
-        With `await_command`, the connection stays open if its first command or the rest of a command has not
-        arrived. A lingering connection is read for a limited time: closing it with unread input would reset
-        it, and the client would lose the answers that it has not read yet.
+        The connection stays open while a command is unanswered or unprocessed. With `await_command`, it also
+        stays open if its first command or the rest of a command has not arrived.
         """
         if self.unanswered or self.ended_at is not None or self.transport.is_closing():
             return
-        command_coming = self._received_nothing or not self._reader.at_message_boundary()
-        if await_command and command_coming and not self._input_closed:
+        if not self._input_closed:
+            if await_command and (self._received_nothing or not self._reader.at_message_boundary()):
+                return
+            if self._may_hold_command():
+                return
+        self._end_stream()
+
+    def finish_input(self) -> None:
+        """Process all commands that have been read, read no others and close, as the process exits."""
+        if self.ended_at is not None or self.transport.is_closing():
             return
+        self._pause_reading()
+        try:
+            while not self._input_closed and (arguments := self._reader.next()) is not None:
+                self._process_command(cast(list[bytes], arguments))
+        except resp.ProtocolError as error:
+            self._refuse_input(f"Protocol error: {error}")
+        if not self.unanswered and self.ended_at is None:
+            self._end_stream()
+
+    def _end_stream(self) -> None:
+        """Send the end of the stream and linger.
+
+        A lingering connection is read for a limited time: closing it with unread input would reset it, and
+        the client would lose the answers that it has not read yet.
+        """
         self._input_closed = True
         self.ended_at = self._table.loop.time()
         self._reader = resp.Reader(MAX_ARGUMENTS)
@@ -256,6 +291,8 @@
             self._table.restart_timeout(self)
         elif answers_unread or self.ended_at is not None or self.transport.is_closing():
             self.abort()
+        elif self._reader.at_message_boundary() and self._may_hold_command():
+            self._table.restart_timeout(self)  # the client has acted, but its input has not been read
         elif self._reader.at_message_boundary():
             self.close(await_command=False)
         else:
--- a/rushroad/proxy/client_listener.py
+++ b/rushroad/proxy/client_listener.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
+import time
 
 from rushroad.proxy.client_command import CommandSchema
 from rushroad.proxy.client_connection import ClientConnection
 from rushroad.proxy.connection_table import ConnectionTable
 from rushroad.proxy.engine import Engine
-from rushroad.proxy.transient_errors import RESOURCE_ERRORS, RETRY_INTERVAL_S, poll_now
+from rushroad.proxy.transient_errors import RESOURCE_ERRORS, RETRY_INTERVAL_S
 
 BACKLOG = 1_024  # connections that the kernel queues until they are accepted
 MAX_ACCEPTS_PER_CALLBACK = 16  # each uses a descriptor before an evicted connection releases one
@@ -18,6 +18,7 @@
 MAX_ACCEPT_FAILURES_AT_STOP = 50  # after which connections still in the backlog are dropped
 PARTIAL_COMMAND_TIMEOUT_S = 1.0  # time for which a stop waits for commands that are on their way
 CLOSE_INTERVAL_S = 0.01  # between attempts of a stop to close the remaining connections
+LAST_INPUT_TIME_S = 0.1  # after its time limit, for which a stop still reads and rejects commands
 LINGER_TIMEOUT_S = 0.3  # time that a stop gives clients to read all answers and close
 
 
@@ -114,9 +115,10 @@
     async def stop(self, accept_time: float, time_limit: float) -> None:
         """Accept connections for `accept_time`, then close the listener and all connections gracefully.
 
-        After `accept_time`, new requests are rejected and each connection closes once it has no unanswered
-        commands. After `time_limit`, counted from the start, all requests in flight are answered and the
-        connections aborted, as the process may be killed soon. Both times are in seconds.
+        After `accept_time`, new requests are rejected and each connection closes once all commands that have
+        arrived are answered. After `time_limit`, counted from the start, all requests in flight are answered,
+        the other commands rejected and the connections aborted, as the process may be killed soon. Both times
+        are in seconds.
         """
         deadline = self._loop.time() + time_limit
         await asyncio.sleep(accept_time)
@@ -125,6 +127,11 @@
         input_deadline = self._loop.time() + PARTIAL_COMMAND_TIMEOUT_S
         await self._close_connections(input_deadline, deadline)
         self._engine.answer_all()
+        await self._close_connections(0.0, self._loop.time() + LAST_INPUT_TIME_S)
+        last_answers_until = time.monotonic() + LINGER_TIMEOUT_S
+        for connection in list(self.connections.open):
+            if time.monotonic() < last_answers_until:
+                connection.finish_input()
         await self._close_connections(0.0, self._loop.time() + LINGER_TIMEOUT_S)
         for connection in list(self.connections.open):
             connection.abort()  # the client may never read its answers
@@ -149,23 +156,12 @@
     async def _close_connections(self, input_deadline: float, deadline: float) -> None:
         """Close connections gracefully until none is left or `deadline` is reached.
 
-        Until `input_deadline`, connections with unread input or an incomplete command stay open.
+        Until `input_deadline`, connections without a command or with an incomplete one stay open.
         """
         while self.connections.open and (now := self._loop.time()) < deadline:
-            readable = self._readable_descriptors()
             for connection in list(self.connections.open):
                 if connection.ended_at is not None and now - connection.ended_at > LINGER_TIMEOUT_S:
                     connection.abort()
-                elif connection.descriptor not in readable or now >= input_deadline:
+                else:
                     connection.close(await_command=now < input_deadline)
             await asyncio.sleep(CLOSE_INTERVAL_S)
-
-    def _readable_descriptors(self) -> set[int]:
-        """Return the descriptors of connections with unread input, or all descriptors if polling fails."""
-        poller = select.poll()
-        for connection in self.connections.open:
-            poller.register(connection.descriptor, select.POLLIN)
-        ready = poll_now(poller)
-        if ready is None:
-            return {connection.descriptor for connection in self.connections.open}
-        return {descriptor for descriptor, _ in ready}
--- a/rushroad/proxy/connection_table.py
+++ b/rushroad/proxy/connection_table.py
@@ -19,6 +19,7 @@
 MIN_IDLE_TIME_S = 2.0  # a connection stays open for this time after its last answer
 MAX_IDLE_FRACTION = 0.25  # of the connection limit; above it, the connections idle for longest are closed
 MAX_PENDING_FRACTION = 0.25  # of the connection limit; above it, new connections evict pending ones
+MAX_EVICTION_CANDIDATES = 16  # each costs a system call
 MAX_UNREAD_BYTES = 8 << 20  # total of the answers that clients may leave unread after their timeout
 
 
@@ -49,21 +50,25 @@
         """Add a new connection; above the connection limit, one connection is evicted.
 
         The connection idle for longest is evicted, as it is the least likely to have a request on its way. If
-        too many connections are pending, the oldest pending one without unanswered commands is evicted
-        instead, so that silent clients cannot displace active ones.
+        too many connections are pending, the oldest pending one to which nothing is owed is evicted instead,
+        so that silent clients cannot displace active ones.
         """
         self.open.add(connection)
         self.start_timeout(connection)
         if len(self.open) <= self._max_connections:
             return
-        oldest_silent = next(
-            (pending for pending in self._pending_since if not pending.unanswered), connection
-        )
         too_many_pending = len(self._pending_since) > max(1, self._max_connections * MAX_PENDING_FRACTION)
-        evicted = oldest_silent if too_many_pending else next(iter(self._idle_since), oldest_silent)
+        evicted = None if too_many_pending else self._first_quiet(self._idle_since)
+        evicted = evicted or self._first_quiet(self._pending_since) or connection
         self.remove(evicted)
         evicted.abort()
 
+    @staticmethod
+    def _first_quiet(connections: dict[ClientConnection, float]) -> ClientConnection | None:
+        candidates = (connection for connection in connections if not connection.unanswered)
+        examined = islice(candidates, MAX_EVICTION_CANDIDATES)
+        return next((connection for connection in examined if connection.is_quiet()), None)
+
     def remove(self, connection: ClientConnection) -> None:
         """Remove a closed connection."""
         self.open.discard(connection)
--- a/tests/proxy/test_client_listener.py
+++ b/tests/proxy/test_client_listener.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from rushroad.proxy.client_connection import MAX_UNANSWERED
 from tests.support.client_side import PING, PONG, ClientSide, RunScenario
-from tests.support.loopback import LOOPBACK, call
+from tests.support.loopback import LOOPBACK, TENANT, call, resp
 
 
 def test_stop_answers_requests_in_flight_then_closes_all_connections(run_scenario: RunScenario) -> None:
@@ -174,3 +175,60 @@
         await stopping
 
     run_scenario(scenario)
+
+
+def post(request_id: int, body: bytes) -> bytes:
+    """Encode a client's command for a request with a body."""
+    return resp(b"CALL.POST", TENANT, b"%016x" % request_id, b"c=order,t=basic,d=900", body)
+
+
+@pytest.mark.parametrize(
+    "body_bytes", [4, 4_000]
+)  # all fits in the gateway's buffer; most is in the kernel's
+@pytest.mark.parametrize("answered_by", ["rate servers", "time limit of the stop"])
+def test_stop_answers_all_pipelined_commands_that_arrived_before_it(
+    run_scenario: RunScenario, monkeypatch: pytest.MonkeyPatch, body_bytes: int, answered_by: str
+) -> None:
+    # Guards against: a stop closes a connection between two batches of commands that were sent at once.
+    monkeypatch.setattr("rushroad.proxy.client_listener.PARTIAL_COMMAND_TIMEOUT_S", 0.0)
+    monkeypatch.setattr("rushroad.proxy.client_listener.CLOSE_INTERVAL_S", 0.0)
+    commands = 500
+
+    async def scenario(gateway: ClientSide) -> None:
+        reader, writer = await gateway.connect()
+        writer.write(b"".join(post(number, b"x" * body_bytes) for number in range(commands)))
+        in_flight = [await gateway.engine.calls.get() for _ in range(MAX_UNANSWERED)]
+        stopped_by_servers = answered_by == "rate servers"
+        if not stopped_by_servers:
+            gateway.engine.unanswered = in_flight
+        stopping = asyncio.create_task(gateway.listener.stop(0.0, 5.0 if stopped_by_servers else 0.02))
+        while not gateway.connections.shutting_down:
+            await asyncio.sleep(0)
+        if stopped_by_servers:
+            for command in in_flight:
+                command.fail()
+        answers = await reader.read()
+        assert answers == MAX_UNANSWERED * b"-ERR failed\r\n" + (commands - MAX_UNANSWERED) * b"-BUSY\r\n"
+        writer.close()
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_commands_that_were_read_are_answered_when_the_time_of_a_stop_is_over(
+    run_scenario: RunScenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against: the last step of a stop aborts a connection whose commands have been read.
+    monkeypatch.setattr("rushroad.proxy.client_listener.LAST_INPUT_TIME_S", 0.0)
+
+    async def scenario(gateway: ClientSide) -> None:
+        reader, writer = await gateway.connect()
+        writer.write(b"".join(call(number) for number in range(100)))  # short enough for a single read
+        gateway.engine.unanswered = [await gateway.engine.calls.get() for _ in range(MAX_UNANSWERED)]
+        stopping = asyncio.create_task(gateway.listener.stop(0.0, 0.0))
+        answers = await reader.read()
+        assert answers.count(b"\r\n") == 100
+        writer.close()
+        await stopping
+
+    run_scenario(scenario)
--- a/tests/proxy/test_connection_table.py
+++ b/tests/proxy/test_connection_table.py
@@ -27,6 +27,35 @@
     run_scenario(scenario, max_connections=2)
 
 
+def test_connection_with_unread_input_is_not_closed_as_idle(
+    run_scenario: RunScenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against: a request that has arrived, but not been read, is lost as its connection is closed.
+    monkeypatch.setattr("rushroad.proxy.connection_table.CLIENT_TIMEOUT_S", 0.0)
+    monkeypatch.setattr("rushroad.proxy.connection_table.MIN_IDLE_TIME_S", 0.0)
+    monkeypatch.setattr("rushroad.proxy.connection_table.MAX_IDLE_FRACTION", 0.0)
+
+    async def scenario(gateway: ClientSide) -> None:
+        silent, idle = await gateway.connect(), await gateway.connect()
+        idle[1].write(PING)
+        assert await idle[0].readline() == PONG
+        for connection in gateway.connections.open:
+            connection.transport.pause_reading()  # what the clients send now stays in the kernel
+        for _, writer in (silent, idle):
+            writer.write(PING)
+        for connection in list(gateway.connections.open):
+            connection.time_out()
+        gateway.connections.sweep()
+        third = await gateway.connect()
+        assert await third[0].read() == b""  # closed instead, as it is over the limit
+        for connection in gateway.connections.open:
+            connection.transport.resume_reading()
+        for reader, _ in (silent, idle):
+            assert await reader.readline() == PONG
+
+    run_scenario(scenario, max_connections=2)
+
+
 @pytest.mark.parametrize("start", [b"", call(1)[:-5], PING + call(1)[:-5]])
 def test_connection_with_an_unfinished_command_times_out(
     run_scenario: RunScenario, start: bytes, monkeypatch: pytest.MonkeyPatch
