--- a/rushroad/proxy/__main__.py
+++ b/rushroad/proxy/__main__.py
@@ -83,7 +83,7 @@
     engine.backend = upstream
     counter = _connect_counter(configuration, engine, loop)
     schema = CommandSchema.from_settings(settings, proxy_settings)
-    listener = ClientListener(engine, schema, configuration.max_client_connections, loop)
+    listener = ClientListener(engine, schema, configuration.max_client_connections, memory_limit, loop)
 
     apply_update = _update_handler(engine, upstream, loop)
     cached_version = await retry_transient(
--- a/rushroad/proxy/arrival_times.py
+++ b/rushroad/proxy/arrival_times.py
@@ -6,7 +6,7 @@
 from collections import deque
 
 CATCH_UP_TIME_S = 0.2  # time after reading a backlog in which more of it may arrive from the peer's buffers
-LARGE_READ_BYTES = 64 * 1024  # a read of this size may have left data in the kernel's buffer
+LARGE_READ_BYTES = 64 * 1024
 MERGE_INTERVAL_S = 0.005  # reads closer together share an entry, which limits the memory for small reads
 
 
@@ -37,8 +37,8 @@
         if not readable:
             self._backlog_since = None
 
-    def record(self, size: int, earliest_arrival: float) -> None:
-        """Record a read of `size` bytes.
+    def record(self, size: int, earliest_arrival: float, large_read_bytes: int = LARGE_READ_BYTES) -> None:
+        """Record a read of `size` bytes; one of `large_read_bytes` may have left data in the kernel's buffer.
 
         Unless reading was paused, `earliest_arrival` is the earliest time at which they may have arrived.
         """
@@ -48,7 +48,7 @@
                 self._backlog_since = None
             else:
                 arrived_at = self._backlog_since
-                if size >= LARGE_READ_BYTES or self._backlog_until == math.inf:
+                if size >= large_read_bytes or self._backlog_until == math.inf:
                     self._backlog_until = earliest_arrival + CATCH_UP_TIME_S
         self._received_bytes += size
         if self._entries and arrived_at - self._entries[-1][1] < MERGE_INTERVAL_S:
--- a/rushroad/proxy/client_command.py
+++ b/rushroad/proxy/client_command.py
@@ -20,6 +20,8 @@
 TENANT_PATTERN = re.compile(rb"[0-9a-f]{16}")
 ID_PATTERN = re.compile(rb"[0-9A-Za-z._:-]{1,64}")
 TEXT_PATTERN = re.compile(rb"[^\0- ]{1,128}")  # only bytes above the space character
+# Memory that a command uses besides its arguments while it is in flight, and besides its answer after it.
+IN_FLIGHT_OVERHEAD_BYTES, ANSWERED_OVERHEAD_BYTES = 2 * 1024, 256
 INTEGER_PATTERN = re.compile(rb"\d{1,9}")
 OPTION_PATTERNS = {  # by option name on the wire; calls with any other option are invalid
     b"c": TEXT_PATTERN,  # request class
@@ -88,6 +90,7 @@
         "connection",
         "entry_point_count",
         "first_entry_point",
+        "held_bytes",
         "id",
         "is_retry",
         "plan_index",
@@ -97,19 +100,23 @@
         "units",
     )
 
-    def __init__(self, connection: ClientConnection, arrived_at_s: float) -> None:
+    def __init__(
+        self, connection: ClientConnection, arrived_at_s: float, arguments: list[bytes] | None = None
+    ) -> None:
         self.connection = connection
         self.arrived_at_s = arrived_at_s  # earliest time at which its last byte may have arrived
         self.answer: bytes | None = None
         self.request_id = 0  # assigned by the engine; 0 while no answer from the engine is due
-        self.arguments: list[bytes] = []
+        self.arguments = arguments or []  # until the command is answered
+        self.held_bytes = IN_FLIGHT_OVERHEAD_BYTES + sum(map(len, self.arguments))
 
-    def parse_call(self, arguments: list[bytes], schema: CommandSchema) -> None:
+    def parse_call(self, schema: CommandSchema) -> None:
         """Parse the arguments of a call; raise InvalidCommandError if any of them is invalid.
 
         The arguments are forwarded to rate servers unchanged, except for the deadline, so there is no later
         validation.
         """
+        arguments = self.arguments
         if len(arguments) != CALL_ARGUMENT_COUNTS[arguments[0]]:
             raise InvalidCommandError("wrong number of arguments")
         options = parse_options(arguments[3])
@@ -125,7 +132,7 @@
             raise InvalidCommandError("bad customer")
         if not ID_PATTERN.fullmatch(arguments[2]):
             raise InvalidCommandError("bad id")
-        self.tenant, self.id, self.arguments = tenant, arguments[2], arguments
+        self.tenant, self.id = tenant, arguments[2]
         self.units = float(options.get(b"units", 1))
         self.entry_point_count = int(options.get(b"spread", 1))
         self.first_entry_point = int(options.get(b"first", 0))
@@ -168,12 +175,18 @@
         """Answer that the command is invalid, with the reason."""
         self._answer(b"-ERR %b\r\n" % error.encode())
 
-    def answer_ping(self, arguments: list[bytes]) -> None:
+    def answer_ping(self) -> None:
         """Answer a PING; raise InvalidCommandError for any other command."""
-        if arguments[0].upper() != PING:
+        if self.arguments[0].upper() != PING:
             raise InvalidCommandError("unknown command")
         self._answer(b"+PONG\r\n")
 
+    def release_arguments(self) -> None:
+        """Release the memory of the arguments: no further attempt will forward them."""
+        self.arguments = []
+
     def _answer(self, answer: bytes) -> None:
         self.answer, self.request_id = answer, 0
-        self.connection.write_answers()
+        self.release_arguments()
+        held_before, self.held_bytes = self.held_bytes, ANSWERED_OVERHEAD_BYTES + len(answer)
+        self.connection.command_answered(self.held_bytes - held_before)
--- a/rushroad/proxy/client_listener.py
+++ b/rushroad/proxy/client_listener.py
@@ -26,9 +26,15 @@
     """Accepts client connections until it is stopped."""
 
     def __init__(
-        self, engine: Engine, schema: CommandSchema, max_connections: int, loop: asyncio.AbstractEventLoop
+        self,
+        engine: Engine,
+        schema: CommandSchema,
+        max_connections: int,
+        memory_limit: int,
+        loop: asyncio.AbstractEventLoop,
     ) -> None:
-        self.connections = ConnectionTable(engine, schema, max_connections, loop)
+        """Create a listener; memory_limit: bytes that the gateway may use."""
+        self.connections = ConnectionTable(engine, schema, max_connections, memory_limit, loop)
         self.port = 0  # 0 until it listens
         self._engine, self._loop = engine, loop
         self._listener: socket.socket
--- a/rushroad/proxy/configuration.py
+++ b/rushroad/proxy/configuration.py
@@ -13,6 +13,7 @@
 from rushroad.policy.settings import Settings, SettingsError
 from rushroad.policy.settings_reader import ProxySettings, read_proxy_settings, read_settings
 from rushroad.proxy.address import Address, parse_address
+from rushroad.proxy.buffer_limit import buffer_memory
 from rushroad.proxy.counter_client import CounterClient
 from rushroad.proxy.discovery import Discovery, UpdateHandler
 from rushroad.proxy.endpoint_decoder import (
@@ -21,12 +22,15 @@
 )
 from rushroad.proxy.json_splitter import JsonSplitter
 from rushroad.proxy.nonblocking_log import log
+from rushroad.proxy.resp import MAX_MESSAGE_BYTES
 from rushroad.proxy.transient_errors import TRANSIENT_ERRORS, retry_transient
 
 PATH_VARIABLE = "EDGE_CONFIG"  # environment variable with the path of the configuration file
 READ_BYTES = 64 * 1024  # per event loop iteration
 RESERVED_SOCKETS = 40  # descriptors for the counter, discovery, the event loop and the standard streams
 UPSTREAM_FRACTION = 0.25  # of the other descriptors, for connections to endpoints; the rest is for clients
+UPSTREAM_MEMORY_FRACTION = 0.25  # of the memory for buffers; a connection to an endpoint uses one message
+MIN_UPSTREAM_CONNECTIONS = 16
 RELOAD_RETRY_TIME_S = 3.0  # 4 s after SIGHUP, the gateway is expected to use the new configuration
 RELOAD_RETRIED_ERRORS = TRANSIENT_ERRORS | {errno.ENOENT}  # the file may be missing while it is replaced
 
@@ -94,9 +98,14 @@
         proxy_settings = read_proxy_settings(document["settings"])
         limits = document["limits"]
         sockets = int(limits["sockets"]) - RESERVED_SOCKETS
-        max_upstream_connections = int(sockets * UPSTREAM_FRACTION)
+        memory_limit = int(limits["memory_mb"] * 1e6)
+        upstream_memory = buffer_memory(memory_limit) * UPSTREAM_MEMORY_FRACTION
+        max_upstream_connections = min(
+            int(sockets * UPSTREAM_FRACTION),
+            max(MIN_UPSTREAM_CONNECTIONS, int(upstream_memory / MAX_MESSAGE_BYTES)),
+        )
         return Configuration(
-            memory_limit=int(limits["memory_mb"] * 1e6),
+            memory_limit=memory_limit,
             max_upstream_connections=max_upstream_connections,
             max_client_connections=sockets - max_upstream_connections,
             listen=parse_address(document["listen"]),
--- a/rushroad/proxy/connection_table.py
+++ b/rushroad/proxy/connection_table.py
@@ -6,6 +6,7 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
+from rushroad.proxy.buffer_limit import BufferLimit
 from rushroad.proxy.client_command import CommandSchema
 from rushroad.proxy.disconnect_poller import DisconnectPoller
 from rushroad.proxy.engine import Engine
@@ -15,21 +16,30 @@
     from rushroad.proxy.client_connection import ClientConnection
 
 CLIENT_TIMEOUT_S = 2.0  # for sending the first command, for completing a command and for reading answers
+STALLED_TIMEOUT_S = 0.25  # for completing a long command when the memory for buffers is exhausted
 SWEEP_INTERVAL_S = 0.25
 MIN_IDLE_TIME_S = 2.0  # a connection stays open for this time after its last answer
 MAX_IDLE_FRACTION = 0.25  # of the connection limit; above it, the connections idle for longest are closed
 MAX_PENDING_FRACTION = 0.25  # of the connection limit; above it, new connections evict pending ones
 MAX_EVICTION_CANDIDATES = 16  # each costs a system call
-MAX_UNREAD_BYTES = 8 << 20  # total of the answers that clients may leave unread after their timeout
+# Total of the answers that clients may leave unread after their timeout, in bytes and of the buffers' limit.
+MAX_UNREAD_BYTES, MAX_UNREAD_FRACTION = 8 << 20, 0.5
 
 
 class ConnectionTable:
     """The open client connections, their timeouts and the objects that they share."""
 
     def __init__(
-        self, engine: Engine, schema: CommandSchema, max_connections: int, loop: asyncio.AbstractEventLoop
+        self,
+        engine: Engine,
+        schema: CommandSchema,
+        max_connections: int,
+        memory_limit: int,
+        loop: asyncio.AbstractEventLoop,
     ) -> None:
+        """Create an empty table; memory_limit: bytes that the gateway may use."""
         self.engine, self.schema, self.loop = engine, schema, loop
+        self.buffers = BufferLimit.of_gateway(memory_limit, max_connections, loop)
         self.loop_lag = LoopLagMonitor(loop)
         self.disconnect_poller = DisconnectPoller(loop)
         self.open: set[ClientConnection] = set()
@@ -102,14 +112,17 @@
     def may_leave_unread(self, connection: ClientConnection) -> bool:
         """Return whether a client may leave its answers unread after its timeout.
 
-        This is allowed until the longest deadline, as long as all unread answers fit in MAX_UNREAD_BYTES.
+        This is allowed until the longest deadline, as long as all unread answers are within their limits.
         """
         unread_bytes = sum(pending.transport.get_write_buffer_size() for pending in self._pending_since)
         unread_bytes += connection.transport.get_write_buffer_size()
         waited = self.loop.time() - connection.unread_since
-        return waited < self.schema.longest_deadline_s and unread_bytes <= MAX_UNREAD_BYTES
+        max_unread_bytes = min(MAX_UNREAD_BYTES, self.buffers.limit_bytes * MAX_UNREAD_FRACTION)
+        return waited < self.schema.longest_deadline_s and unread_bytes <= max_unread_bytes
 
     def _close_timed_out(self) -> None:
+        if self.buffers.is_exceeded():
+            self._close_stalled()
         pending_before = self.loop.time() - CLIENT_TIMEOUT_S
         for connection, since in list(self._pending_since.items()):
             if since > pending_before:
@@ -117,6 +130,13 @@
             del self._pending_since[connection]
             connection.time_out()
 
+    def _close_stalled(self) -> None:
+        """Close connections that use much memory for a command whose rest does not come: others need it."""
+        pending_before = self.loop.time() - STALLED_TIMEOUT_S
+        for connection, since in list(self._pending_since.items()):
+            if since <= pending_before and connection.is_stalled():
+                connection.time_out()
+
     def _close_idle(self) -> None:
         """Close the connections idle for longest, if there are too many.
 
--- a/rushroad/proxy/resp.py
+++ b/rushroad/proxy/resp.py
@@ -76,11 +76,29 @@
         """Number of bytes that have been received but not read."""
         return len(self._data) - self._position
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes in memory: the buffer, with what has been read of it, and an incomplete array."""
+        if not self._items:
+            return len(self._data)
+        return len(self._data) + sum([len(item) for item in self._items if item is not None])
+
+    def release_read_data(self) -> None:
+        """Release the memory of the data that has been read."""
+        if self._position:
+            self.feed(b"")
+
     def next(self) -> list[bytes | None] | bytes | None:
         """Return the next message: an array, or an error line without its type byte; None if incomplete.
 
         Raises ProtocolError for data that is not a valid message.
         """
+        message = self._next()
+        if self._position == len(self._data):
+            self.release_read_data()  # an idle connection keeps none
+        return message
+
+    def _next(self) -> list[bytes | None] | bytes | None:
         if not self._missing_items:
             line = self._read_line(ARRAY + ERROR if self._reads_responses else ARRAY)
             if line is None:
@@ -90,12 +108,13 @@
             self._missing_items = self._parse_number(line, self._max_items)
             if not self._missing_items:
                 raise ProtocolError("an array of nothing")
-            self._items, self._message_bytes = [], 0
+            self._message_bytes = 0
         while self._missing_items:
             if not self._read_item():
                 return None
             self._missing_items -= 1
-        return self._items
+        items, self._items = self._items, []
+        return items
 
     def _read_item(self) -> bool:
         """Read one item of the current array; returns False if it is incomplete."""
--- a/tests/integration/test_client_disconnect.py
+++ b/tests/integration/test_client_disconnect.py
@@ -25,7 +25,7 @@
 from tests.support.attempts import LONG_TIMEOUT_US, OK, endpoint_at
 from tests.support.client_side import ClientSide
 from tests.support.gateway_driver import SETTINGS
-from tests.support.loopback import LOOPBACK, SCHEMA, Peer, call, run
+from tests.support.loopback import LOOPBACK, MEMORY_LIMIT, SCHEMA, Peer, call, run
 from tests.support.scripted_policy import Script, ScriptedPolicy, install_policy
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # for SO_LINGER
@@ -76,7 +76,7 @@
         self.upstream = engine.backend = Upstream(engine, SETTINGS, 15_000_000, 8, loop)
         self.upstream.update_endpoints(endpoint_at(endpoint.port), True)
         self.counter = engine.counter = ManualCounter(engine)
-        self.listener = ClientListener(engine, SCHEMA, 8, loop)
+        self.listener = ClientListener(engine, SCHEMA, 8, MEMORY_LIMIT, loop)
         self.client: socket.socket
 
     def connect(self) -> socket.socket:
--- a/tests/proxy/test_configuration.py
+++ b/tests/proxy/test_configuration.py
@@ -15,6 +15,7 @@
     read_configuration,
     read_document,
 )
+from rushroad.proxy.resp import MAX_MESSAGE_BYTES
 from tests.support.gateway_process import GATEWAY_HOST, configuration
 from tests.support.loopback import run
 from tests.support.watch import LONG_LIST_SIZE, list_entries
@@ -68,6 +69,15 @@
     assert read.max_client_connections == (1024 - RESERVED_SOCKETS) * 3 // 4
 
 
+def test_connections_to_endpoints_are_limited_by_memory_too(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against: long commands and responses, one on each connection, that exceed the memory limit.
+    limits = {"limits": {"cores": 1.0, "memory_mb": 48, "sockets": 1024}}
+    read = load(tmp_path, monkeypatch, json.dumps(configuration(1, 2, 3) | limits))
+    assert 64 <= read.max_upstream_connections <= 48_000_000 / 8 / MAX_MESSAGE_BYTES
+
+
 @pytest.mark.parametrize(
     ("text", "message"),
     [
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -40,7 +40,7 @@
 from rushroad.proxy.upstream import Upstream
 from tests.support.attempts import LONG_TIMEOUT_US, OK, endpoint_at
 from tests.support.gateway_driver import SETTINGS
-from tests.support.loopback import LOOPBACK, SCHEMA, DelayedConnectLoop, Peer, call, resp, run
+from tests.support.loopback import LOOPBACK, MEMORY_LIMIT, SCHEMA, DelayedConnectLoop, Peer, call, resp, run
 from tests.support.scripted_policy import Script, ScriptedPolicy, install_policy
 
 
@@ -83,7 +83,7 @@
                 upstream = engine.backend = Upstream(engine, SETTINGS, 15_000_000, 8, loop)
                 upstream.update_endpoints(endpoint_at(endpoint.port), True)
                 engine.counter = InstantCounter(engine)
-                listener = ClientListener(engine, SCHEMA, 8, loop)
+                listener = ClientListener(engine, SCHEMA, 8, MEMORY_LIMIT, loop)
                 await listener.listen(LOOPBACK, 0)
                 client = await asyncio.open_connection(LOOPBACK, listener.port)
                 await scenario(EngineHarness(engine, policy, endpoint, *client))
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -77,6 +77,7 @@
     settings: dict[str, Any] = field(default_factory=dict)
     environments: Mapping[int, Mapping[str, str]] = field(default_factory=dict)  # by gateway number
     sockets: int = 1_024  # limit of each gateway's file descriptors
+    memory_mb: int = 192  # limit of each gateway's memory
     stderr: Any = None  # of the processes; None writes a log file for each
 
     async def __aenter__(self) -> GatewayCluster:
@@ -131,7 +132,7 @@
             "counter": self.counter_address,
             "seed": f"{number + 1:016x}",
             "known": self.discovery.snapshot(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
             "settings": gateway_settings(self.gateways, number) | self.settings,
         }
         self.configuration_file(number).write_text(json.dumps(document | overrides))
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -20,6 +20,7 @@
 )
 # `lookup` is called with CALL.GET, `order` with CALL.POST.
 SCHEMA = CommandSchema({b"lookup": 0, b"order": 1}, (False, True), {b"basic": 0}, max_units=4.0, fleet_size=3)
+MEMORY_LIMIT = 192_000_000  # bytes that a gateway may use
 TENANT = b"00000000000000ab"
 
 
