Wait longer for a counter that answers late, so that its totals are heard

A counter that takes over 1 to 1.5 s for a call is never heard, and quotas go by each gateway's estimate.

Cause: CounterClient._monitor closes a connection after 1 s without a reply and gives the next one the same time; the bound never grew. Evidence: the new test, on loopback, waits for a total in vain on the base's code.

Change: after a connection without any reply the next one waits twice as long, up to 60 s, the longest life of a total. A reply sets it back.

Why it works: whatever the counter needs, some connection outlasts it.

Test: test_counter_that_replies_late_is_heard_after_some_connections; failed before, passed three times after. No whole gateway was run against a slow counter. Cost: a counter that was silent and forgets its calls is noticed later, up to twice the time of its silence.

--- a/rushroad/proxy/counter_client.py
+++ b/rushroad/proxy/counter_client.py
@@ -9,8 +9,10 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 
 from rushroad.policy.events import CounterReply, LateCounterReply, Result
+from rushroad.proxy import counter_connection
 from rushroad.proxy.counter_connection import (
     PING_REPLY,
     CounterConnection,
@@ -24,6 +26,7 @@
 CONNECT_TIMEOUT_S = 1.0
 INITIAL_RECONNECT_DELAY_S = 0.05  # before the second reconnect in a row; doubled for each further one
 MAX_RECONNECT_DELAY_S = 0.4
+MAX_REPLY_TIMEOUT_S = 60.0  # the counter keeps no total for longer, so a later reply is of no use
 MONITOR_INTERVAL_S = 0.5
 
 
@@ -143,37 +146,46 @@
         """Keep one connection open: reconnect when it is lost, at once if it had replied.
 
         While no connection is usable, calls fail and their amounts go uncounted. After a connection without a
-        reply the delay grows, so that repeated resets don't make the event loop spin.
+        reply the delay grows, so that repeated resets don't make the event loop spin. The time for which the
+        next one may be without a reply grows too: the counter answers a call however late its turn is.
         """
-        delay_s = 0.0
+        delay_s, reply_timeout_s = 0.0, counter_connection.UNRESPONSIVE_AFTER_S
         while True:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     _, connection = await self.loop.create_connection(
-                        lambda: CounterConnection(self), *self._address
+                        partial(CounterConnection, self, reply_timeout_s), *self._address
                     )
                 previous, self._connections[index] = self._connections[index], connection
                 if previous is not None:
                     previous.retire()
-                await self._monitor(connection)
+                was_unresponsive = await self._monitor(connection)
                 if connection.has_replied:
-                    delay_s = 0.0
+                    delay_s, reply_timeout_s = 0.0, counter_connection.UNRESPONSIVE_AFTER_S
+                elif was_unresponsive:
+                    reply_timeout_s = min(MAX_REPLY_TIMEOUT_S, 2 * reply_timeout_s)
             except OSError:  # includes TimeoutError
                 pass
             await asyncio.sleep(delay_s)
             delay_s = min(MAX_RECONNECT_DELAY_S, delay_s * 2 or INITIAL_RECONNECT_DELAY_S)
 
-    async def _monitor(self, connection: CounterConnection) -> None:
-        """Until the connection is lost, close it if it is unresponsive and ping it if it is idle."""
+    async def _monitor(self, connection: CounterConnection) -> bool:
+        """Until the connection is lost, close it if it is unresponsive and ping it if it is idle.
+
+        Returns whether it was unresponsive.
+        """
+        was_unresponsive = False
         while not connection.lost.is_set():
             with suppress(TimeoutError):
                 async with asyncio.timeout(MONITOR_INTERVAL_S):
                     await connection.lost.wait()
             now_s = self.loop.time()
             if connection.is_unresponsive(now_s):
+                was_unresponsive = True
                 connection.close()
             elif connection.needs_ping(now_s):
                 connection.ping(now_s)
+        return was_unresponsive
 
     def close(self) -> None:
         """Close all connections at process shutdown."""
--- a/rushroad/proxy/counter_connection.py
+++ b/rushroad/proxy/counter_connection.py
@@ -17,7 +17,9 @@
     from rushroad.proxy.counter_client import CounterClient
 
 IDLE_PING_AFTER_S = 2.0  # without received data; the counter closes connections that are idle for 10 s
-UNRESPONSIVE_AFTER_S = 1.0  # without a reply to the oldest call; longer than the counter ever queues a call
+UNRESPONSIVE_AFTER_S = (
+    1.0  # without a reply to the oldest call, unless earlier connections got no reply either
+)
 MAX_REPLY_BYTES = 256
 
 PING, PING_REPLY = b"ping\r\n", b"pong"
@@ -67,12 +69,13 @@
 class CounterConnection(asyncio.Protocol):
     """A connection to the counter, with its calls that have no reply yet."""
 
-    def __init__(self, client: CounterClient) -> None:
+    def __init__(self, client: CounterClient, reply_timeout_s: float) -> None:
+        """Create a connection that is unresponsive if a call has no reply after `reply_timeout_s`."""
         self.calls: deque[PipelinedCall] = deque()  # without a reply, oldest first
         self.has_replied = False
         self.is_retired = False  # replaced by another connection; takes no new calls
         self.lost = asyncio.Event()
-        self._client = client
+        self._client, self._reply_timeout_s = client, reply_timeout_s
         self._transport: asyncio.Transport | None = None
         self._buffer = b""
         self._has_unwritten_data = False  # part of the last call is still in the transport's write buffer
@@ -103,7 +106,7 @@
 
     def is_unresponsive(self, now_s: float) -> bool:
         """Return whether the oldest call has waited too long for its reply."""
-        return bool(self.calls) and now_s - self.calls[0].started_at_s > UNRESPONSIVE_AFTER_S
+        return bool(self.calls) and now_s - self.calls[0].started_at_s > self._reply_timeout_s
 
     def needs_ping(self, now_s: float) -> bool:
         """Return whether a ping is due to keep the counter from closing the connection as idle."""
--- a/tests/proxy/test_counter_connection.py
+++ b/tests/proxy/test_counter_connection.py
@@ -1,11 +1,18 @@
 """Connections to a counter on loopback sockets: commands, ordered replies, pings, and closing."""
 
+import asyncio
+
 import pytest
 
 from rushroad.policy.events import Result
 from rushroad.proxy import counter_client, counter_connection
 from rushroad.proxy.counter_client import CounterClient
-from tests.support.counter_client_scenarios import LONG_TIMEOUT_US, RecordedReplies, run_with_counter_client
+from tests.support.counter_client_scenarios import (
+    LONG_TIMEOUT_US,
+    RecordedReplies,
+    run_with_counter_client,
+    wait_until_connected,
+)
 from tests.support.loopback import Peer
 
 
@@ -73,6 +80,30 @@
     run_with_counter_client(scenario, LONG_TIMEOUT_US)
 
 
+def test_counter_that_replies_late_is_heard_after_some_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against: a slow counter is never heard, as each connection is closed before its reply comes.
+    reply_timeout_s = 0.02
+    monkeypatch.setattr(counter_connection, "UNRESPONSIVE_AFTER_S", reply_timeout_s)
+    monkeypatch.setattr(counter_client, "MONITOR_INTERVAL_S", reply_timeout_s / 4)
+
+    async def scenario(client: CounterClient, peer: Peer, replies: RecordedReplies) -> None:
+        async def reply_late() -> None:
+            while True:
+                writer, data = await peer.receive()
+                for _ in range(data.count(b"\r\n")):
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(5 * reply_timeout_s, writer.write, b"ok 1\r\n")
+
+        replying = asyncio.create_task(reply_late())
+        client.add(8, 1.0, 1_000_000)
+        while (await replies.get()).result is not Result.OK:
+            await wait_until_connected(client)
+            client.add(8, 1.0, 1_000_000)
+        replying.cancel()
+
+    run_with_counter_client(scenario, LONG_TIMEOUT_US)
+
+
 def test_call_while_all_connections_are_closing_is_connect_failed() -> None:
     # The transport would drop the call's data, as the peer has closed the connection.
     async def scenario(client: CounterClient, _peer: Peer, replies: RecordedReplies) -> None:
