--- a/review/8/case.py
+++ b/review/8/case.py
@@ -5,12 +5,13 @@
 import signal
 import struct
 import sys
+import termios
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "kit-2"))
 from kit import (  # noqa: E402
-    SMALL_PLAN, Agent, Counter, Front, Gateway, RateServer, Record, now, read_answer, request_class, run_case, say,
+    SMALL_PLAN, Agent, client_connections, Counter, Front, Gateway, RateServer, Record, now, read_answer, request_class, run_case, say,
     settings, value_answer,
 )
 
@@ -19,12 +20,11 @@
 SENT_AFTER_S = 1.0  # SIGTERM; the rule binds what comes more than 0.7 s after it
 SIGKILL_AFTER_S = 3.72  # the longest deadline, counted as 3 s, and 0.7 s more
 WAIT_S = 10.0
-SIOCOUTQ = 0x5411  # bytes that the other machine has not acknowledged
 
 
 def unacknowledged(writer: asyncio.StreamWriter) -> int:
     descriptor = writer.get_extra_info("socket").fileno()
-    waiting = struct.unpack("i", fcntl.ioctl(descriptor, SIOCOUTQ, bytes(4)))[0]
+    waiting = struct.unpack("i", fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4)))[0]
     return waiting + writer.transport.get_write_buffer_size()
 
 
@@ -81,6 +81,7 @@
     for client in range(CLIENTS):
         send(client, 4, 1_000 + 8 * client)
     await asyncio.sleep(0.1)
+    held = client_connections(gateway.port)
     terminated = now()
     if trouble:
         gateway.signal(signal.SIGTERM)
@@ -104,6 +105,9 @@
         record(f"client {client}: {sent[client]} sent, {answered[client]} answered, {count} never")
     say(record, f"{len(taken)} connections with {COMMANDS} commands sent {SENT_AFTER_S:.1f} s after: "
                 f"{sum(missing.values())} commands never answered, {sorted(missing.values())}")
+    say(record, f"clients held {held} connections at SIGTERM, at most 341 are allowed")
+    if held > 341:
+        raise RuntimeError("clients held too many connections")
     if not taken:
         raise RuntimeError("no connection stayed open")
     return not any(missing.values())
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,12 +8,12 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "kit-2"))
 from kit import (  # noqa: E402
-    SMALL_PLAN, Agent, Counter, Front, Gateway, RateServer, Record, now, request_class, run_case, say, settings,
+    SMALL_PLAN, Agent, Counter, Front, Gateway, RateServer, Record, client_connections, now, request_class, run_case, say, settings,
 )
 
-BAD_CLIENTS, BAD_PROCESSES = 320, 2
+BAD_CLIENTS, BAD_PROCESSES = 240, 2
 BEFORE_S, FLOOD_S, JUDGED_FROM_S = 4.0, 20.0, 2.0
-PER_S = 10.0  # requests of usual clients
+PER_S = 5.0  # requests of usual clients
 WAIT_S = 1.25  # suva-campus: 50 to 100% of 2.5 s
 LATE_S = 0.55  # "up to half a second after its time", and 50 ms on sockets
 
@@ -35,6 +35,7 @@
     gateway = Gateway("n0", scratch, document, record)
     gateway.start()
     await gateway.ready()
+    held = 0  # connections of all clients, at most
     lag = 0.0  # of this process: the time by which it may see an answer late
 
     async def measure_lag() -> None:
@@ -48,8 +49,10 @@
     tasks: list[asyncio.Task] = []
 
     async def usual_traffic(seconds: float) -> None:
+        nonlocal held
         ends = now() + seconds
         while now() < ends:
+            held = max(held, client_connections(gateway.port))
             request = front.request(gateway, "slot-check", True, WAIT_S, len(tasks) % 40, "units=1,spread=2,first=0", slack_s=10.0)
             tasks.append(asyncio.ensure_future(request))
             await asyncio.sleep(1 / PER_S)
@@ -79,6 +82,9 @@
     never = sum(not sent.answer for sent in judged)
     say(record, f"{len(judged)} requests of usual clients, {len(late)} answered over {LATE_S} s after their time or never "
                 f"({never}); longest {longest:.2f} s; this process lagged {lag:.3f} s at most")
+    say(record, f"clients held {held} connections at most, {1024 // 3} are allowed")
+    if held > 1024 // 3:
+        raise RuntimeError("clients held too many connections")
     return not late
 
 
--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -545,6 +545,13 @@
             writer.transport.abort()
 
 
+def client_connections(port: int) -> int:
+    """Return how many connections clients hold to this port, as the system's table of connections shows."""
+    with open("/proc/net/tcp") as table:
+        rows = [line.split() for line in table.readlines()[1:]]
+    return sum(row[3] == "01" and int(row[2].rpartition(":")[2], 16) == port for row in rows)
+
+
 def descriptors(process_id: int) -> int:
     return len(os.listdir(f"/proc/{process_id}/fd"))
 
