--- a/rushroad/proxy/buffer_limit.py
+++ b/rushroad/proxy/buffer_limit.py
@@ -77,10 +77,20 @@
         if self._waiting and added_bytes < 0 and not self.is_exceeded():
             self._schedule_resume()
 
-    def wait(self, connection: WaitingConnection) -> None:
-        """Call `memory_available` once the connection may read."""
+    def must_wait(self, connection: WaitingConnection, use: BufferUse, ends_exemption: bool) -> bool:
+        """Return whether a connection must not read at present; `memory_available` is called once it may.
+
+        ends_exemption: it has read a whole command, or cannot process one.
+        """
+        if not self.is_exceeded() and not self.is_exempt(connection):
+            return False
+        if ends_exemption:
+            self.end_exemption(connection)
+        if self.is_exempt(connection) or not use.exceeds_share():
+            return False
         self._waiting.setdefault(connection)
         self._schedule_resume()
+        return True
 
     def is_waiting(self, connection: WaitingConnection) -> bool:
         """Return whether a connection may not read at present."""
--- a/rushroad/proxy/client_command.py
+++ b/rushroad/proxy/client_command.py
@@ -70,7 +70,8 @@
     Raises InvalidCommandError if an option is invalid, unknown or repeated.
     """
     options: dict[bytes, bytes] = {}
-    for item in text.split(b","):
+    # One item more than there are names is enough to find an error, however many a client sends.
+    for item in text.split(b",", len(OPTION_PATTERNS)):
         name, _, value = item.partition(b"=")
         pattern = OPTION_PATTERNS.get(name)
         if name in options or pattern is None or not pattern.fullmatch(value):
--- a/rushroad/proxy/client_connection.py
+++ b/rushroad/proxy/client_connection.py
@@ -6,17 +6,18 @@
 from typing import cast
 
 from rushroad.proxy import resp
-from rushroad.proxy.arrival_times import ArrivalTimes
+from rushroad.proxy.block_reason import BlockReason
 from rushroad.proxy.buffer_limit import FREE_BYTES, BufferUse
 from rushroad.proxy.client_command import CALL_ARGUMENT_COUNTS, ClientCommand, InvalidCommandError
+from rushroad.proxy.client_input import ClientInput
+from rushroad.proxy.command_scheduler import COMMAND_COST, Turn
 from rushroad.proxy.connection_table import ConnectionTable
 from rushroad.proxy.disconnect_poller import has_disconnected
 from rushroad.proxy.transient_errors import is_readable
 from rushroad.proxy.unanswered_commands import UnansweredCommands
 
-MAX_ARGUMENTS = 16  # per command; more than any command of clients and their libraries has
 MAX_UNANSWERED = 64  # pipelined commands of a connection; later ones wait until earlier ones are answered
-MAX_COMMANDS_PER_BATCH = 64  # processed on one connection before other connections are served
+MAX_BATCH = 64  # commands of a connection, after which it pauses if any of them was invalid
 INVALID_COMMAND_PAUSE_S = 0.05  # reading pauses, so that repeated invalid commands do not use up CPU time
 READ_AHEAD_BYTES = 8 * 1024  # of unprocessed input; above it, reading pauses, so arrival times are less exact
 # Input after the last command is read and discarded, as closing with unread bytes would reset the connection
@@ -24,25 +25,17 @@
 MAX_LINGERING_READ_BYTES = 256 * 1024
 
 
-class BlockReason:
-    """Why commands of a connection are not processed; bit flags, as several reasons can hold at once."""
-
-    PIPELINE_FULL = 1
-    BATCH_ENDED = 2  # until other connections are served, or for a pause after an invalid command
-    ANSWERS_UNREAD = 4
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """A client connection, from its set-up to its lingering close."""
 
     def __init__(self, table: ConnectionTable, descriptor: int, waiting_since: float | None = None) -> None:
         """Create a connection; `waiting_since` is when its first input may have arrived, if accepted late."""
         self._table, self.descriptor = table, descriptor
-        self._reader = resp.Reader(MAX_ARGUMENTS)
-        self._arrivals = ArrivalTimes()
+        self._input = ClientInput()
         if waiting_since is not None:
-            self._arrivals.reading_paused(waiting_since)  # no input was read since then
+            self._input.arrivals.reading_paused(waiting_since)  # no input was read since then
         self._blocked_by = 0  # flags of BlockReason
+        self._batch_length, self._batch_has_invalid = 0, False  # of commands processed without a pause
         self._reading_paused = False
         self._read_buffer: memoryview
         self._buffer_use = BufferUse(table.buffers)
@@ -75,14 +68,14 @@
                 self.abort()
             return
         buffer_bytes = len(self._read_buffer)
-        self._arrivals.record(size, self._table.loop_lag.earliest_arrival(), buffer_bytes)
-        self._reader.feed(bytes(self._read_buffer[:size]))
-        processed = 0
+        self._input.arrivals.record(size, self._table.loop_lag.earliest_arrival(), buffer_bytes)
+        self._input.append(bytes(self._read_buffer[:size]))
         if not self._blocked_by:
-            processed = self._process_commands(more_input=size == buffer_bytes)
-        elif self._reader.unread_bytes > READ_AHEAD_BYTES:
-            self._pause_reading()
-        self._limit_memory(processed)
+            self._blocked_by = BlockReason.AWAITING_TURN
+            if self._table.scheduler.input_arrived(self):
+                return
+        self._limit_read_ahead()
+        self._limit_memory(0)
 
     def pause_writing(self) -> None:
         """Stop processing commands while the client does not read its answers, which limits memory use."""
@@ -112,41 +105,57 @@
         """Handle the end of the connection, closed by either side."""
         self._table.remove(self)
         self.disconnect()
-        self._reader = resp.Reader(MAX_ARGUMENTS)
+        self._input.discard()
         self._buffer_use.update(0)
 
     # --- commands and answers -----------------------------------------------------------------------------
 
-    def _process_commands(self, more_input: bool = False) -> int:
-        """Process the complete commands that have been read, within the limits; return how many there were.
-
-        With `more_input`, more has probably arrived; other connections are served before it is read.
-        """
-        processed, any_invalid, arguments = 0, False, None
+    def take_turn(self, credit: int) -> Turn:
+        """Process commands until they cost `credit` or more, none is left or they are blocked."""
+        self._blocked_by &= ~BlockReason.AWAITING_TURN
+        if self._blocked_by or self._input_closed or self.transport.is_closing():
+            return Turn(0, False)
+        start, processed, cost, is_exhausted = self._input.consumed_bytes, 0, 0, False
         try:
-            while processed < MAX_COMMANDS_PER_BATCH and len(self.unanswered) < MAX_UNANSWERED:
-                if (arguments := self._reader.next()) is None:
+            while cost < credit and not self._blocked_by:
+                if (arguments := self._input.next_command()) is None:
+                    is_exhausted = True
                     break
-                any_invalid |= not self._process_command(cast(list[bytes], arguments))
+                self._process_command(arguments)
                 processed += 1
+                cost = processed * COMMAND_COST + self._input.consumed_bytes - start
         except resp.ProtocolError as error:
             self._refuse_input(f"Protocol error: {error}")
-            return processed
-        if self._input_closed:
-            return processed
-        self._update_timeout(processed, partial=arguments is None and not self._reader.at_message_boundary())
-        if len(self.unanswered) >= MAX_UNANSWERED:
-            self._block(BlockReason.PIPELINE_FULL)
-        if any_invalid or more_input or processed >= MAX_COMMANDS_PER_BATCH:
-            self._block(BlockReason.BATCH_ENDED)
-            pause = INVALID_COMMAND_PAUSE_S if any_invalid else 0
-            self._table.loop.call_later(pause, self._unblock, BlockReason.BATCH_ENDED)
-        return processed
-
-    def _process_command(self, arguments: list[bytes]) -> bool:
-        """Submit or answer one command; return False if it is invalid."""
-        arrived_at_s = self._arrivals.arrival_of(self._reader.consumed_bytes)
-        command = ClientCommand(self, arrived_at_s, arguments)
+            self._count_held_bytes()
+            return Turn(cost, False)
+        if not self._input_closed:
+            self._end_turn(processed, is_exhausted)
+        return Turn(cost, bool(self._blocked_by & BlockReason.AWAITING_TURN))
+
+    def _end_turn(self, processed: int, is_exhausted: bool) -> None:
+        """Update the timeout, the reasons for waiting and the flow control after commands were processed."""
+        is_partial = is_exhausted and not self._input.at_message_boundary()
+        self._table.commands_processed(self, processed, is_partial)
+        self._batch_length += processed
+        if is_exhausted or self._batch_length >= MAX_BATCH:
+            self._end_batch()
+        if not self._blocked_by and not is_exhausted:
+            self._blocked_by = BlockReason.AWAITING_TURN
+        self._limit_read_ahead()
+        self._limit_memory(processed)
+        if not self._blocked_by:
+            self._resume_reading()
+
+    def _end_batch(self) -> None:
+        """Pause if any command of the batch was invalid."""
+        if self._batch_has_invalid:
+            self._block(BlockReason.INVALID_COMMAND)
+            self._table.loop.call_later(INVALID_COMMAND_PAUSE_S, self._unblock, BlockReason.INVALID_COMMAND)
+        self._batch_length, self._batch_has_invalid = 0, False
+
+    def _process_command(self, arguments: list[bytes]) -> None:
+        """Submit or answer one command."""
+        command = ClientCommand(self, self._input.last_arrival(), arguments)
         self.unanswered.append(command)
         self._table.mark_busy(self)
         try:
@@ -155,9 +164,10 @@
             else:
                 command.answer_ping()
         except InvalidCommandError as error:
+            self._batch_has_invalid = True
             command.refuse(str(error))
-            return False
-        return True
+        if len(self.unanswered) >= MAX_UNANSWERED:
+            self._block(BlockReason.PIPELINE_FULL)
 
     def _submit(self, command: ClientCommand) -> None:
         command.parse_call(self._table.schema)
@@ -170,16 +180,6 @@
             # A rate server would treat it as a duplicate of the request in flight with the same ID.
             raise InvalidCommandError("the id is taken")
 
-    def _update_timeout(self, processed: int, partial: bool) -> None:
-        if partial and processed:
-            self._table.restart_timeout(self)
-        elif partial:
-            self._table.start_timeout(self)
-        elif processed:
-            self._table.stop_timeout(self)
-            if not self.unanswered:
-                self._table.mark_idle(self)
-
     def command_answered(self, added_bytes: int) -> None:
         """Write the answers that are ready; the answered command now uses this much more memory."""
         if not self.unanswered:  # the client has disconnected
@@ -187,9 +187,8 @@
         self.unanswered.held_bytes += added_bytes
         self._write_answers()
         released = not self.unanswered or self._table.buffers.is_exceeded()
-        if added_bytes > 0 or (
-            released and self._buffer_use.used_bytes
-        ):  # most answers are short, and counted later
+        # Most answers are short, and counted later.
+        if added_bytes > 0 or (released and self._buffer_use.used_bytes):
             self._count_held_bytes()
 
     def _write_answers(self) -> None:
@@ -209,7 +208,7 @@
         """Send an error after the pending answers, then close: later input cannot be parsed."""
         self._input_closed = True
         self._table.buffers.forget(self)
-        self._reader = resp.Reader(MAX_ARGUMENTS)
+        self._input.discard()
         self._block(BlockReason.PIPELINE_FULL)
         self._pause_reading()
         command = ClientCommand(self, self._table.loop.time())
@@ -219,34 +218,41 @@
     # --- flow control -------------------------------------------------------------------------------------
 
     def _block(self, reason: int) -> None:
-        """Stop processing commands.
+        """Stop processing commands."""
+        self._blocked_by |= reason
+        self._limit_read_ahead()
 
-        Reading continues if a full pipeline is the only reason, in order to record when commands arrive.
+    def _limit_read_ahead(self) -> None:
+        """Pause reading if commands are blocked and enough of them have been read.
+
+        Until then reading continues, in order to record when commands arrive, unless the client is at fault.
         """
-        self._blocked_by |= reason
-        if self._blocked_by & ~BlockReason.PIPELINE_FULL or self._reader.unread_bytes > READ_AHEAD_BYTES:
+        is_at_fault = self._blocked_by & (BlockReason.ANSWERS_UNREAD | BlockReason.INVALID_COMMAND)
+        if is_at_fault or (self._blocked_by and self._input.unread_bytes > READ_AHEAD_BYTES):
             self._pause_reading()
 
     def _unblock(self, reason: int) -> None:
-        """Clear a block reason; if no other remains, process the commands that have arrived meanwhile."""
+        """Clear a block reason; if no other remains, the commands that have arrived meanwhile get a turn."""
         self._blocked_by &= ~reason
         if self._input_closed or self._blocked_by or self.transport.is_closing() or self.poll_disconnect():
             return
-        self._limit_memory(self._process_commands())
-        if not self._blocked_by and not self._input_closed:
+        if self._input.unread_bytes:
+            self._blocked_by = BlockReason.AWAITING_TURN
+            self._table.scheduler.enqueue(self)
+        else:
             self._resume_reading()
 
     def _pause_reading(self) -> None:
         if not self._reading_paused and not self.transport.is_closing():
             self._reading_paused = True
-            self._arrivals.reading_paused(self._table.loop.time())
+            self._input.arrivals.reading_paused(self._table.loop.time())
             self.transport.pause_reading()
             self._table.disconnect_poller.watch(self)
 
     def _resume_reading(self) -> None:
         if self._reading_paused and not self._table.buffers.is_waiting(self):
             self._reading_paused = False
-            self._arrivals.reading_resumed(is_readable(self.descriptor))
+            self._input.arrivals.reading_resumed(is_readable(self.descriptor))
             self._table.disconnect_poller.unwatch(self)
             self.transport.resume_reading()
 
@@ -254,7 +260,7 @@
 
     def _count_held_bytes(self) -> None:
         self._buffer_use.update(
-            self._reader.held_bytes + self.unanswered.held_bytes + self.transport.get_write_buffer_size()
+            self._input.held_bytes + self.unanswered.held_bytes + self.transport.get_write_buffer_size()
         )
 
     def _uses_too_much_memory(self) -> bool:
@@ -267,17 +273,10 @@
 
         processed: number of commands that were complete in the last input.
         """
-        buffers = self._table.buffers
-        self._reader.release_read_data()
+        self._input.release_read_data()
         self._count_held_bytes()
-        if not buffers.is_exceeded() and not buffers.is_exempt(self):
-            return
-        if processed or self._blocked_by & ~BlockReason.BATCH_ENDED:
-            buffers.end_exemption(self)
-        if self._input_closed or buffers.is_exempt(self):
-            return
-        if self._uses_too_much_memory():
-            buffers.wait(self)
+        ends_exemption = processed > 0 or bool(self._blocked_by & ~BlockReason.AWAITING_TURN)
+        if not self._input_closed and self._table.buffers.must_wait(self, self._buffer_use, ends_exemption):
             self._pause_reading()
 
     def memory_available(self) -> None:
@@ -289,7 +288,9 @@
 
     def is_stalled(self) -> bool:
         """Return whether much memory is used for a command whose rest has not arrived."""
-        return self._reader.held_bytes > FREE_BYTES and not self.has_unread_input()
+        if self._blocked_by & BlockReason.AWAITING_TURN:
+            return False
+        return self._input.held_bytes > FREE_BYTES and not self.has_unread_input()
 
     def has_unread_input(self) -> bool:
         """Return whether input has arrived that has not been read."""
@@ -308,7 +309,7 @@
 
         It may be in the reader while processing is blocked, or in the kernel, where only reading shows it.
         """
-        return bool(self._blocked_by and self._reader.unread_bytes) or self.has_unread_input()
+        return bool(self._blocked_by and self._input.unread_bytes) or self.has_unread_input()
 
     def close(self, await_command: bool = True) -> None:
         """Send the end of the stream if nothing is owed to the client, then linger until the client closes.
@@ -319,7 +320,7 @@
         if self.unanswered or self.ended_at is not None or self.transport.is_closing():
             return
         if not self._input_closed:
-            if await_command and (self._received_nothing or not self._reader.at_message_boundary()):
+            if await_command and (self._received_nothing or not self._input.at_message_boundary()):
                 return
             if self._may_hold_command():
                 return
@@ -331,8 +332,8 @@
             return
         self._pause_reading()
         try:
-            while not self._input_closed and (arguments := self._reader.next()) is not None:
-                self._process_command(cast(list[bytes], arguments))
+            while not self._input_closed and (arguments := self._input.next_command()) is not None:
+                self._process_command(arguments)
         except resp.ProtocolError as error:
             self._refuse_input(f"Protocol error: {error}")
         if not self.unanswered and self.ended_at is None:
@@ -346,7 +347,7 @@
         """
         self._input_closed = True
         self.ended_at = self._table.loop.time()
-        self._reader = resp.Reader(MAX_ARGUMENTS)
+        self._input.discard()
         self._table.mark_busy(self)
         self._table.restart_timeout(self)
         self.transport.write_eof()
@@ -363,13 +364,15 @@
     def time_out(self) -> None:
         """Close the connection, as the client has not acted in time."""
         answers_unread = self._blocked_by & BlockReason.ANSWERS_UNREAD
-        at_boundary = self._reader.at_message_boundary()
+        at_boundary = self._input.at_message_boundary()
         if answers_unread and self.ended_at is None and self._table.may_leave_unread(self):
             self._table.restart_timeout(self)
         elif answers_unread or self.ended_at is not None or self.transport.is_closing():
             self.abort()
-        elif (at_boundary or self._table.buffers.is_waiting(self)) and self._may_hold_command():
-            self._table.restart_timeout(self)  # the client has acted, but its input has not been read
+        elif self._blocked_by & BlockReason.AWAITING_TURN or (
+            (at_boundary or self._table.buffers.is_waiting(self)) and self._may_hold_command()
+        ):
+            self._table.restart_timeout(self)  # the client has acted, but its input has not been processed
         elif at_boundary:
             self.close(await_command=False)
         else:
--- a/rushroad/proxy/connection_table.py
+++ b/rushroad/proxy/connection_table.py
@@ -8,6 +8,7 @@
 
 from rushroad.proxy.buffer_limit import BufferLimit
 from rushroad.proxy.client_command import CommandSchema
+from rushroad.proxy.command_scheduler import CommandScheduler
 from rushroad.proxy.disconnect_poller import DisconnectPoller
 from rushroad.proxy.engine import Engine
 from rushroad.proxy.loop_lag import LoopLagMonitor
@@ -40,6 +41,7 @@
         """Create an empty table; memory_limit: bytes that the gateway may use."""
         self.engine, self.schema, self.loop = engine, schema, loop
         self.buffers = BufferLimit.of_gateway(memory_limit, max_connections, loop)
+        self.scheduler = CommandScheduler(loop)
         self.loop_lag = LoopLagMonitor(loop)
         self.disconnect_poller = DisconnectPoller(loop)
         self.open: set[ClientConnection] = set()
@@ -99,6 +101,17 @@
         """Stop the timeout: the client has acted, or the connection is closing."""
         self._pending_since.pop(connection, None)
 
+    def commands_processed(self, connection: ClientConnection, count: int, is_partial: bool) -> None:
+        """Update the timeout after commands were processed; is_partial: the rest of another is missing."""
+        if is_partial and count:
+            self.restart_timeout(connection)
+        elif is_partial:
+            self.start_timeout(connection)
+        elif count:
+            self.stop_timeout(connection)
+            if not connection.unanswered:
+                self.mark_idle(connection)
+
     def mark_idle(self, connection: ClientConnection) -> None:
         """Mark a connection without unanswered commands as idle, unless its timeout is running."""
         self._idle_since.pop(connection, None)
--- a/rushroad/proxy/resp.py
+++ b/rushroad/proxy/resp.py
@@ -71,6 +71,11 @@
         """Total number of bytes read; after a message, the position of its end in the stream."""
         return self._consumed_before_data + self._position
 
+    @property
+    def consumed_in_memory(self) -> int:
+        """Number of bytes that have been read and are still in memory."""
+        return self._position
+
     @property
     def unread_bytes(self) -> int:
         """Number of bytes that have been received but not read."""
--- a/tests/integration/test_client_disconnect.py
+++ b/tests/integration/test_client_disconnect.py
@@ -18,7 +18,8 @@
     Result,
     TimerFired,
 )
-from rushroad.proxy.client_connection import MAX_UNANSWERED, BlockReason
+from rushroad.proxy.block_reason import BlockReason
+from rushroad.proxy.client_connection import MAX_UNANSWERED
 from rushroad.proxy.client_listener import ClientListener
 from rushroad.proxy.engine import Engine
 from rushroad.proxy.upstream import Upstream
