--- a/rushroad/proxy/buffer_limit.py
+++ b/rushroad/proxy/buffer_limit.py
@@ -10,6 +10,7 @@
 MEMORY_FRACTION = 1 / 3  # of the rest, for all client connections, of which each may use FREE_BYTES
 MIN_LIMIT_BYTES = 256 * 1024
 FREE_BYTES = 8 * 1024  # that each connection may use when the limit is exceeded; most requests are shorter
+READ_AHEAD_FRACTION = 1 / 8  # of the limit, that a connection may hold of input that waits to be processed
 READ_BYTES = 64 * 1024  # at once from a connection
 REDUCED_READ_BYTES = 4 * 1024  # the same when the limit is exceeded
 MAX_EXEMPT = 16  # connections that read to the end of a command although the limit is exceeded
@@ -41,6 +42,7 @@
 
     def __init__(self, limit_bytes: int, loop: asyncio.AbstractEventLoop) -> None:
         self.limit_bytes, self.used_bytes = limit_bytes, 0
+        self.max_read_ahead_bytes = int(limit_bytes * READ_AHEAD_FRACTION)
         self._loop = loop
         self._waiting: dict[WaitingConnection, None] = {}  # longest pause first
         self._exempt: set[WaitingConnection] = set()  # they may read although the limit is exceeded
--- a/rushroad/proxy/client_command.py
+++ b/rushroad/proxy/client_command.py
@@ -151,6 +151,10 @@
         """
         return self.connection.poll_disconnect()
 
+    def may_have_left(self) -> bool:
+        """Return whether the client may have disconnected a while ago, unseen behind input not read yet."""
+        return self.connection.reading.may_hide_close()
+
     def forwarded_command(self, time_remaining_us: int) -> bytes:
         """Return the command for a rate server with the time remaining in place of the client's."""
         deadline = b"d=%d" % max(1, time_remaining_us // 1_000)
--- a/rushroad/proxy/engine.py
+++ b/rushroad/proxy/engine.py
@@ -239,8 +239,13 @@
         request = self._requests[action.request_id]
         number = request.attempts_started
         request.attempts_started += 1
-        # The event loop reports a disconnect at least one iteration late, and never while reading is paused.
-        if request.finished or request.call.poll_disconnect() or number >= self._settings.limits.max_attempts:
+        if (
+            request.finished
+            or number >= self._settings.limits.max_attempts
+            # The event loop reports a disconnect at least one iteration late.
+            or request.call.poll_disconnect()
+            or request.call.may_have_left()
+        ):
             ids = (action.request_id, number, action.endpoint)
             self.post(AttemptFinished(*ids, Result.NOT_FORWARDED, 0, request.finished))
             return
--- a/rushroad/proxy/in_flight.py
+++ b/rushroad/proxy/in_flight.py
@@ -27,6 +27,12 @@
         If so, the engine has been notified for all requests on the connection.
         """
 
+    def may_have_left(self) -> bool:
+        """Return whether the client may have disconnected a while ago, unseen behind input not read yet.
+
+        No attempt may start then.
+        """
+
     def forwarded_command(self, time_remaining_us: int) -> bytes:
         """Return the command for a rate server with the time remaining in place of the client's."""
 
--- a/rushroad/proxy/upstream.py
+++ b/rushroad/proxy/upstream.py
@@ -133,6 +133,10 @@
         elif attempt.call.poll_disconnect():  # the engine has been notified and withdraws the attempt
             pool.add(connection)
             pool.release(connection)
+        elif attempt.call.may_have_left():
+            pool.add(connection)
+            pool.release(connection)
+            self.finish(attempt, Result.NOT_FORWARDED)
         else:
             pool.add(connection)
             self._write(attempt, connection, deadline_us - self._engine.clock.now_us())
--- a/tests/support/attempts.py
+++ b/tests/support/attempts.py
@@ -28,6 +28,9 @@
     def poll_disconnect(self) -> bool:
         return False
 
+    def may_have_left(self) -> bool:
+        return False
+
     def forwarded_command(self, _time_remaining_us: int) -> bytes:
         return resp(b"CALL.GET", b"x" * self.size)
 
