Limit the table of tenants by memory_mb; those with a single request give way first

Callers saw: one client with ever new customer names took a gateway of 64 MB to 211 MB in 20 s (the sighting that came with the issue); the platform kills it, and all open requests are lost.

Cause: a tenant's state (814 bytes by a trace) was forgotten only after 30 s idle, two looks a request; nothing bounded the table. Ruled out: ids, classes, plans, log lines, names on the counter (see the postmortem).

Change: table_limits.py gives the table a quarter of the memory beside the process's 24 MB. A full table evicts tenants with a single request, oldest first, while they are over a fifth of it, else the longest idle one; tenants with open requests stay. A ceiling's bucket of a new tenant counts as empty at the last request of any that was evicted for room, so that eviction refills none.

Why it works: the table cannot grow over its share, and a flood of new names evicts its own.

--- a/rushroad/policy/gateway.py
+++ b/rushroad/policy/gateway.py
@@ -54,7 +54,7 @@
 from rushroad.policy.retry_policy import RetryPolicy
 from rushroad.policy.settings import Settings
 from rushroad.policy.slow_start import SlowStart
-from rushroad.policy.tenants import Tenants
+from rushroad.policy.tenants import DEFAULT_MAX_TENANTS, Tenants
 from rushroad.policy.time_units import SECOND
 from rushroad.policy.timers import (
     AttemptCheckDue,
@@ -70,7 +70,10 @@
 class Gateway:
     """Owns the components of the policy and the requests that have no final answer yet."""
 
-    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+    def __init__(
+        self, settings: Settings, seed: int, now: int, max_tenants: int = DEFAULT_MAX_TENANTS
+    ) -> None:
+        """Create a policy that keeps the state of at most about `max_tenants` tenants."""
         self._settings = settings
         self._random = random.Random(seed)
         self._now = now
@@ -78,12 +81,12 @@
         self.pending_requests: dict[int, PendingRequest] = {}
         self.timers = Timers(self._outbox)
         self.latency = LatencyTracker(settings)
-        self._create_quota_components(settings, now)
+        self._create_quota_components(settings, now, max_tenants)
         self._create_endpoint_components(settings, now)
         self._create_routing_components(settings)
 
-    def _create_quota_components(self, settings: Settings, now: int) -> None:
-        self.tenants = Tenants(settings, now)
+    def _create_quota_components(self, settings: Settings, now: int, max_tenants: int) -> None:
+        self.tenants = Tenants(settings, now, max_tenants)
         self.client_retries = ClientRetryDetector(settings)
         self.counter_breaker = CounterBreaker(settings.counter, now, now - INITIAL_FAILURE_AGE)
         self.counter_calls = CounterCalls(self._outbox)
--- a/rushroad/proxy/__main__.py
+++ b/rushroad/proxy/__main__.py
@@ -27,6 +27,7 @@
 from rushroad.proxy.garbage_collection import EndpointFreezer, freeze_startup_objects
 from rushroad.proxy.nonblocking_log import log
 from rushroad.proxy.shutdown import shut_down, termination_event
+from rushroad.proxy.table_limits import TableLimits
 from rushroad.proxy.transient_errors import (
     RETRY_INTERVAL_S,
     START_RETRY_TIME_S,
@@ -76,7 +77,7 @@
     settings, proxy_settings = configuration.settings, configuration.proxy_settings
     memory_limit = configuration.memory_limit
 
-    engine = Engine(settings, configuration.seed, loop)
+    engine = Engine(settings, configuration.seed, loop, TableLimits.of_gateway(memory_limit))
     upstream = Upstream(
         engine, settings, proxy_settings.idle_timeout, configuration.max_upstream_connections, loop
     )
--- a/rushroad/proxy/engine.py
+++ b/rushroad/proxy/engine.py
@@ -36,10 +36,12 @@
 from rushroad.proxy.clock import Clock
 from rushroad.proxy.in_flight import Attempt, Call, InFlightRequest
 from rushroad.proxy.nonblocking_log import log
+from rushroad.proxy.table_limits import TableLimits
 
 __all__ = ["Attempt", "Backend", "Counter", "Engine"]
 
 NETWORK_ALLOWANCE_US = 10_000  # subtracted from the client's deadline, to cover network latency and loop lag
+DEFAULT_LIMITS = TableLimits()
 DEADLINE_GRACE_US = 30_000  # time after a request's deadline in which the policy can still answer it
 
 AttemptKey: TypeAlias = tuple[int, int]  # request ID and attempt number
@@ -68,13 +70,20 @@
 class Engine:
     """Executes the policy's actions and ensures that each request gets exactly one answer in time."""
 
-    def __init__(self, settings: Settings, seed: int, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        loop: asyncio.AbstractEventLoop,
+        limits: TableLimits = DEFAULT_LIMITS,
+    ) -> None:
+        """Create an engine; `limits`: of the tables that it and its policy keep."""
         self.clock = Clock()
         self.backend: Backend
         self.counter: Counter
         self._settings = settings
         self._loop = loop
-        self._policy = Gateway(settings, seed, self.clock.now_us())
+        self._policy = Gateway(settings, seed, self.clock.now_us(), limits.tenants)
         self._request_ids = itertools.count(1)
         self._requests: dict[int, InFlightRequest] = {}  # by ID, until the policy has processed their end
         self._attempts: dict[AttemptKey, Attempt] = {}  # attempts in flight
--- a/tests/integration/test_memory_limit.py
+++ b/tests/integration/test_memory_limit.py
@@ -66,6 +66,19 @@
         assert await connection.read_answer()
 
 
+async def send_commands_of_new_tenants(connection: ClientConnection, client: int) -> None:
+    """Send short commands in pipelines, each of another tenant and with too little time to be forwarded."""
+    pipeline, commands = 200, 50_000
+    for start in range(0, commands, pipeline):
+        numbers = range(start, start + pipeline)
+        tenant_base = (client + 1) << 20
+        connection.writer.write(
+            b"".join(request_command(1 << 40 | n, 1, tenant=tenant_base + n) for n in numbers)
+        )
+        for _ in numbers:
+            assert await connection.read_answer()
+
+
 async def leave_long_answers_unread(connection: ClientConnection, client: int) -> None:
     """Send short commands, which have long answers, and read nothing until the gateway closes."""
     connection.writer.transport.pause_reading()  # type: ignore[attr-defined]
@@ -100,13 +113,15 @@
         (send_long_commands, 200),
         (send_incomplete_command, 600),
         (send_short_commands, 600),
+        (send_commands_of_new_tenants, 1),
         (leave_long_answers_unread, 200),
     ],
 )
 def test_memory_stays_within_its_limit_whatever_clients_make_the_gateway_buffer(
     running_cluster: RunningCluster, client: Client, count: int
 ) -> None:
-    # Guards against: buffers that are limited for each connection only, and exceed the memory limit together.
+    # Guards against: buffers that are limited for each connection only, and exceed the memory limit together;
+    # the state of ever new tenants, which is kept until they have been idle for long.
     async def scenario() -> None:
         settings = {"classes": CLASSES, "packages": PLANS}
         async with running_cluster(memory_mb=MEMORY_MB, service_time_s=0.25, settings=settings) as cluster:
