Refuse the id of a request that may have run, after it has ended

Cause: Engine forgot an id with the end of its request and its last attempt.

Change: call_ids.py keeps ids of ended requests that are not idempotent and may have run, for the longest deadline and deduplication window of such classes; they are refused as those in flight are.

Why it works: an id is known for as long as its client may still ask and a server may drop duplicates.

Tests: on the old code four of the six cases of the new engine test fail; the two others show that a request that never ran may come again.

--- a/rushroad/proxy/engine.py
+++ b/rushroad/proxy/engine.py
@@ -32,7 +32,8 @@
     TimerFired,
 )
 from rushroad.policy.gateway import Gateway
-from rushroad.policy.settings import Settings
+from rushroad.policy.settings import Idempotency, Settings
+from rushroad.proxy.call_ids import CallIds, hold_time
 from rushroad.proxy.clock import Clock
 from rushroad.proxy.in_flight import Attempt, Call, InFlightRequest
 from rushroad.proxy.nonblocking_log import log
@@ -87,7 +88,8 @@
         self._request_ids = itertools.count(1)
         self._requests: dict[int, InFlightRequest] = {}  # by ID, until the policy has processed their end
         self._attempts: dict[AttemptKey, Attempt] = {}  # attempts in flight
-        self._call_ids: set[bytes] = set()  # of requests that are unanswered or have attempts in flight
+        # In flight while a request is unanswered or has attempts in flight.
+        self._call_ids = CallIds(hold_time(settings), limits.call_ids)
         self._endpoint_updates: deque[EndpointUpdate] = deque()
         self._events: deque[Event] = deque()
         self._scheduled = False  # whether a call of `_process_events` is scheduled
@@ -95,10 +97,12 @@
     # --- called by the other components of the proxy ------------------------------------------------------
 
     def submit(self, call: Call) -> int:
-        """Accept a request and return its ID, or 0 if a request with the same call ID is in flight."""
-        if call.id in self._call_ids:
+        """Accept a request and return its ID.
+
+        Returns 0 if its call ID is that of a request in flight, or of one that must not be executed again.
+        """
+        if not self._call_ids.acquire(call.id, self.clock.now_us()):
             return 0
-        self._call_ids.add(call.id)
         request_id = next(self._request_ids)
         # The deadline of the request class is an upper limit for the client's own deadline.
         class_deadline_us = self._settings.request_classes[call.class_index].deadline
@@ -151,6 +155,7 @@
         attempt.finished = True
         self._attempts.pop((attempt.request_id, attempt.number), None)
         attempt.in_flight_request.attempts_in_flight -= 1
+        attempt.in_flight_request.may_have_run |= not result.proven_not_executed
         is_first_response = False
         if result is Result.OK and (request := self._finish(attempt.request_id)) is not None:
             is_first_response = True
@@ -307,10 +312,15 @@
     def _release_call_id(self, request: InFlightRequest) -> None:
         """Allow the call ID to be reused once the request is finished and has no attempt in flight.
 
-        Until then, an endpoint would treat another request with the same ID as a duplicate of this one.
+        Until then, an endpoint would treat another request with the same ID as a duplicate of this one. The
+        ID of one that may have been executed and is not idempotent stays known, as its client may send it
+        again on another connection.
         """
         if request.finished and not request.attempts_in_flight:
-            self._call_ids.discard(request.call.id)
+            request_class = self._settings.request_classes[request.call.class_index]
+            is_idempotent = request_class.idempotency is Idempotency.IDEMPOTENT
+            may_have_run = request.may_have_run and not is_idempotent
+            self._call_ids.release(request.call.id, may_have_run, self.clock.now_us())
 
     def _deadline_passed(self, request_id: int) -> None:
         # A queued event may still lead to an answer, so the queue is processed first.
--- a/rushroad/proxy/in_flight.py
+++ b/rushroad/proxy/in_flight.py
@@ -55,6 +55,7 @@
     deadline_timer: asyncio.TimerHandle
     attempts_started: int = 0
     attempts_in_flight: int = 0
+    may_have_run: bool = False  # an attempt has ended without proof that it was not executed
     finished: bool = False  # answered, or its client has disconnected
 
 
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -40,7 +40,17 @@
 from rushroad.proxy.upstream import Upstream
 from tests.support.attempts import LONG_TIMEOUT_US, OK, endpoint_at
 from tests.support.gateway_driver import SETTINGS
-from tests.support.loopback import LOOPBACK, MEMORY_LIMIT, SCHEMA, DelayedConnectLoop, Peer, call, resp, run
+from tests.support.loopback import (
+    LOOPBACK,
+    MEMORY_LIMIT,
+    SCHEMA,
+    TENANT,
+    DelayedConnectLoop,
+    Peer,
+    call,
+    resp,
+    run,
+)
 from tests.support.scripted_policy import Script, ScriptedPolicy, install_policy
 
 
@@ -376,6 +386,46 @@
     run_engine_scenario(script, scenario)
 
 
+def post(request_id: int) -> bytes:
+    """Encode a client's command for a request that is not idempotent."""
+    return resp(b"CALL.POST", TENANT, b"%016x" % request_id, b"c=order,t=basic,d=900", b"BODY")
+
+
+@pytest.mark.parametrize("client_leaves", [True, False])
+@pytest.mark.parametrize(
+    ("response", "is_refused"), [(OK, True), (b"-ERR failed\r\n", True), (b"-BUSY\r\n", False)]
+)
+def test_id_that_may_have_run_is_refused_on_another_connection(
+    run_engine_scenario: RunEngineScenario, client_leaves: bool, response: bytes, is_refused: bool
+) -> None:
+    # Guards against: a request runs twice, as its id comes again after its client has left.
+    def script(event: Event) -> Iterator[Action]:
+        yield from start_attempt(event)
+        if isinstance(event, AttemptFinished) and not event.is_final:
+            yield Fail(event.request_id)
+
+    async def scenario(gateway: EngineHarness) -> None:
+        gateway.writer.write(post(1))
+        endpoint, _ = await gateway.endpoint.receive()
+        if client_leaves:
+            gateway.writer.transport.abort()
+            while not isinstance(gateway.policy.events[-1], ClientDisconnected):
+                await asyncio.sleep(0)
+        endpoint.write(response)
+        while not isinstance(gateway.policy.events[-1], AttemptFinished):
+            await asyncio.sleep(0)
+        address = gateway.writer.get_extra_info("peername")
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(post(1))
+        if is_refused:
+            assert await reader.readline() == b"-ERR the id is taken\r\n"
+        else:
+            await gateway.endpoint.respond(OK)
+            assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
+
+    run_engine_scenario(script, scenario)
+
+
 @pytest.mark.usefixtures("no_waiting_time")
 def test_time_remaining_is_limited_to_the_deadline_of_the_class(
     run_engine_scenario: RunEngineScenario,
