Take the list of a discovery agent that counts its versions anew

Callers saw: after a restart of the agent with smaller versions its whole list was passed over for good; in 15 s no attempt reached the servers that it named (a trial, one gateway before stand-ins).

Cause: handle_part passes over any list older than the current version, so that an agent that lags brings back no draining server, and cannot tell such an agent from one that counts anew.

Why it works: an agent that only lags has caught up by then.

Tests: the first of two failed before; the other shows that an agent that catches up, sends a delta only, or names nobody changes nothing.

--- a/rushroad/proxy/discovery.py
+++ b/rushroad/proxy/discovery.py
@@ -35,6 +35,9 @@
 MAX_PENDING_WATCHES = 16  # watches not established yet; one of them is closed for each further one
 # A pending watch is kept for at least this time, as the gateway counts as notified of an update after it.
 MIN_PENDING_TIME_S = 6.0
+# By this time an agent that lags behind has caught up, as what discovery has to tell counts as notified. One
+# whose versions are still older has begun to count anew.
+RENUMBERING_TIME_S = 6.0
 UpdateHandler = Callable[[EndpointUpdate, list[ListedEndpoint]], None]
 
 
@@ -201,6 +204,7 @@
         self._backoff = Backoff(INITIAL_RECONNECT_DELAY_S, MAX_RECONNECT_DELAY_S, rng)
         self._newest_seen_version = version  # the newest version of which at least one part was received
         self._not_ready: set[str] = set()  # endpoints that this version's parts list as draining or removed
+        self._renumbering_timer: asyncio.TimerHandle | None = None  # runs since an older snapshot
         self._watch: WatchConnection | None = None  # the last one that was established
         self._pending_watches: list[WatchConnection] = []  # not established yet
         self._task = loop.create_task(self._maintain_watch())
@@ -223,12 +227,9 @@
         """Pass on a part of a list from any watch, unless its version is older than the current one."""
         update, listed, ends_list = part
         if update.version < self.version:
-            if ends_list:
-                log(
-                    f"discovery sent endpoint list version {update.version}, older than {self.version}; "
-                    "keeping the newer one"
-                )
+            self._handle_older_part(part)
             return
+        self._stop_renumbering_timer()
         changes_table = bool(listed) or (ends_list and update.kind is UpdateKind.SNAPSHOT)
         if update.version < self._newest_seen_version:
             listed = self._without_stale_ready(listed)
@@ -242,6 +243,35 @@
             self._backoff.reset()
             self.list_received.set()
 
+    def _handle_older_part(self, part: ListPart) -> None:
+        """Pass over a part of an older list; a snapshot may be the first of a new numbering."""
+        update, listed, ends_list = part
+        if ends_list:
+            log(
+                f"discovery sent endpoint list version {update.version}, older than {self.version}; "
+                "keeping the newer one"
+            )
+        # An empty list is that of an agent that has not learned of any endpoint yet.
+        if update.kind is UpdateKind.SNAPSHOT and listed and self._renumbering_timer is None:
+            self._renumbering_timer = self.loop.call_later(RENUMBERING_TIME_S, self._accept_new_numbering)
+
+    def _accept_new_numbering(self) -> None:
+        """Request a snapshot of any version, as only older ones have come for RENUMBERING_TIME_S."""
+        self._renumbering_timer = None
+        log(
+            f"discovery has sent nothing as new as version {self.version} for {RENUMBERING_TIME_S:g} s, "
+            "but an older list: taking its versions for a new numbering"
+        )
+        self.version = self._newest_seen_version = 0
+        self._not_ready.clear()
+        if self._watch is not None:
+            self._watch.close()
+
+    def _stop_renumbering_timer(self) -> None:
+        if self._renumbering_timer is not None:
+            self._renumbering_timer.cancel()
+            self._renumbering_timer = None
+
     def _without_stale_ready(self, listed: list[ListedEndpoint]) -> list[ListedEndpoint]:
         """Leave out ready endpoints that a newer but incomplete list named as draining or removed."""
         return [
@@ -327,6 +357,7 @@
     def close(self) -> None:
         """Close all watches at process shutdown."""
         self._task.cancel()
+        self._stop_renumbering_timer()
         self._close_pending(list(self._pending_watches))
         if self._watch is not None:
             self._watch.close()
--- a/tests/proxy/test_discovery.py
+++ b/tests/proxy/test_discovery.py
@@ -22,6 +22,7 @@
     run_watch_scenario,
 )
 
+EMPTY_SNAPSHOT = b'{"generation":3,"reset":true,"instances":[]}\n'
 pytestmark = pytest.mark.usefixtures("fresh_log")
 
 
@@ -286,6 +287,41 @@
     assert capfd.readouterr().err == 2 * line
 
 
+def test_snapshot_of_a_new_numbering_is_taken_once_nothing_newer_has_come(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against: the list of an agent that counts anew after its restart is passed over for good, and no
+    # request reaches the endpoints that it names.
+    monkeypatch.setattr("rushroad.proxy.discovery.RENUMBERING_TIME_S", 0.05)
+
+    async def scenario(watch: WatchHarness) -> None:
+        restarted = RESPONSE_HEAD + chunk(list_line(3, reset=True, instanceId="new"))
+        assert b"from=41 " in await watch.peer.respond(restarted)
+        assert b"from=0 " in await watch.next_request()
+        assert not watch.updates
+        watch.peer.writers[-1].write(restarted + chunk(list_line(4, instanceId="newer")))
+        await watch.wait_for_version(4)
+        assert watch.endpoint_names() == ["new", "newer"]
+
+    run_watch_scenario(scenario)
+
+
+@pytest.mark.parametrize("older", [list_line(3, reset=True), list_line(3), EMPTY_SNAPSHOT])
+def test_agent_that_catches_up_or_knows_nothing_yet_has_no_new_numbering(
+    monkeypatch: pytest.MonkeyPatch, older: bytes
+) -> None:
+    # Guards against: an agent that lags behind brings back endpoints that are draining or removed.
+    monkeypatch.setattr("rushroad.proxy.discovery.RENUMBERING_TIME_S", 0.05)
+
+    async def scenario(watch: WatchHarness) -> None:
+        catches_up = chunk(list_line(45)) if older.startswith(list_line(3, reset=True)) else b""
+        await watch.peer.respond(RESPONSE_HEAD + chunk(older) + catches_up)
+        await asyncio.sleep(0.1)
+        assert watch.discovery.version == (45 if catches_up else 41)
+
+    run_watch_scenario(scenario)
+
+
 def test_older_long_list_is_ignored() -> None:
     async def scenario(watch: WatchHarness) -> None:
         assert LONG_LIST_VERSION < 60
