--- a/rushroad/proxy/client_connection.py
+++ b/rushroad/proxy/client_connection.py
@@ -117,11 +117,11 @@
         self._blocked_by &= ~BlockReason.AWAITING_TURN
         if self._blocked_by or self._input_closed or self.transport.is_closing():
             return Turn(0, False)
-        start, processed, cost, is_exhausted = self.input.consumed_bytes, 0, 0, False
+        arguments: list[bytes] | None = None
+        start, processed, cost = self.input.consumed_bytes, 0, 0
         try:
             while cost < credit and not self._blocked_by:
                 if (arguments := self.input.next_command()) is None:
-                    is_exhausted = True
                     break
                 self._process_command(arguments)
                 processed += 1
@@ -131,7 +131,7 @@
             self._count_held_bytes()
             return Turn(cost, False)
         if not self._input_closed:
-            self._end_turn(processed, is_exhausted)
+            self._end_turn(processed, is_exhausted=arguments is None or not self.input.unread_bytes)
         return Turn(cost, bool(self._blocked_by & BlockReason.AWAITING_TURN))
 
     def _end_turn(self, processed: int, is_exhausted: bool) -> None:
